--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -423,12 +423,13 @@
                 leeway_s,
             };
             match (attempt.status, attempt.wanted) {
-                (Some(TaskStatus::Exited), _) => {
-                    // The worker's memory is the second copy of an outcome until it is recorded.
-                    if !attempt.done || job.recorded.contains(key.1) || job.outcome.is_some() {
-                        orders.push(order(Verb::Clear, None));
-                    }
+                // The worker's memory is the second copy of an outcome until it is recorded.
+                (Some(TaskStatus::Exited), _)
+                    if !attempt.done || job.recorded.contains(key.1) || job.outcome.is_some() =>
+                {
+                    orders.push(order(Verb::Clear, None));
                 }
+                (Some(TaskStatus::Exited), _) => {}
                 (Some(TaskStatus::Flushing), Wanted::Stop { leeway }) => {
                     let overdue = attempt
                         .stop_sent
