--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -10,7 +10,7 @@
 use crate::time::{Micros, Moment, WallTime, at_most};
 use crate::workers::Machine;
 use crate::workers::wire::TaskStatus;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What an operator and the platform set.
 #[derive(Clone, Debug)]
@@ -42,6 +42,8 @@
     pub released: bool,
     /// Something changed that a placement pass should look at.
     pub dirty: bool,
+    /// Machines with orders that go straight to them.
+    pub poked: BTreeSet<String>,
     /// A job's final state waits for its record.
     pub urgent_rounds: bool,
 }
@@ -59,6 +61,7 @@
             rng: fastrand::Rng::with_seed(seed),
             released: false,
             dirty: true,
+            poked: BTreeSet::new(),
             urgent_rounds: false,
         }
     }
@@ -144,6 +147,7 @@
                 a.wanted = crate::workers::Wanted::Stop {
                     leeway: Micros::ZERO,
                 };
+                self.poked.insert(machine);
             }
         }
         self.dirty = true;
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -3,6 +3,7 @@
 use super::{DoneRecord, FinalRecord, JobId, Outcome, done_key, final_key, job_key};
 use crate::cluster::Cluster;
 use crate::state_store::{Change, Guard, to_value};
+use crate::workers::Direct;
 
 /// One job's write: the changes belong together, and so do their guards.
 #[derive(Clone, Debug)]
@@ -100,7 +101,7 @@
         let mut ops = 0;
         for (id, job) in &self.jobs.table {
             let Some(outcome) = job.outcome else { continue };
-            if !job.bound.is_empty() {
+            if !job.bound.is_empty() || self.has_open_starts(*id) {
                 continue;
             }
             let spec_id = &job.spec.id;
@@ -155,6 +156,15 @@
         writes
     }
 
+    /// A start without an answer may still arrive: its attempt must not be cleared, so its job
+    /// stays known.
+    fn has_open_starts(&self, id: JobId) -> bool {
+        self.machines
+            .values()
+            .flat_map(|m| m.attempts.range((id, 0, 0)..=(id, u32::MAX, u64::MAX)))
+            .any(|(_, a)| a.direct != Direct::Settled)
+    }
+
     /// A write was committed at this revision.
     pub fn written(&mut self, write: &Write, epoch: u64) {
         let Some(job) = self.jobs.table.get_mut(&write.job) else {
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -129,6 +129,7 @@
                     let held = epoch <= lead.stamp;
                     cluster.add_job(&submission, epoch, held, now, wall);
                     cluster.place(now);
+                    self.wake(cluster);
                 }
                 short(201, &id, ViewState::Queued)
             }
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -264,6 +264,7 @@
                     }
                     if cluster.dirty && now < lead.valid_until {
                         cluster.place(now);
+                        self.wake(cluster);
                     }
                 }
                 Err(StoreError::TooOld) => {
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,10 +12,14 @@
 use crate::state_store::Store;
 use crate::state_store::bucket::TokenBucket;
 use crate::time::{Clock, Micros, Moment};
+use crate::workers::edge::WorkerClients;
 use std::collections::{HashMap, VecDeque};
 use std::net::TcpListener;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 
+/// Threads that send orders straight to workers; each waits for one worker at a time.
+const DIRECT_THREADS: usize = 6;
+
 /// Final answers that a node remembers; older ones are read from the state service.
 const FINALS_KEPT: usize = 4000;
 
@@ -78,6 +82,9 @@
     pub core: Mutex<Core>,
     /// Signalled when records are due and when they were written.
     pub changed: Condvar,
+    /// Signalled when orders may go straight to workers.
+    pub poked: Condvar,
+    pub workers: WorkerClients,
     pub peers: HashMap<String, PeerClient>,
     pub submit_tokens: Mutex<TokenBucket>,
     pub cloud_tokens: Mutex<TokenBucket>,
@@ -107,6 +114,8 @@
             cloud: Client::new(settings.endpoints.cloud),
             core: Mutex::new(Core::default()),
             changed: Condvar::new(),
+            poked: Condvar::new(),
+            workers: WorkerClients::default(),
             peers,
             submit_tokens: Mutex::new(TokenBucket::new(submit, submit, now)),
             cloud_tokens: Mutex::new(TokenBucket::new(site.cloud.rps * 0.9, site.cloud.rps, now)),
@@ -173,6 +182,10 @@
         spawn("fleet", Box::new(move || node.fleet_loop()))?;
         let node = self.clone();
         spawn("tick", Box::new(move || node.tick_loop()))?;
+        for _ in 0..DIRECT_THREADS {
+            let node = self.clone();
+            spawn("direct", Box::new(move || node.direct_loop()))?;
+        }
         let node = self.clone();
         spawn(
             "peers",
@@ -192,9 +205,7 @@
             let mut core = self.core();
             if let Some((_, cluster)) = core.acting(now) {
                 cluster.tick(now);
-                if std::mem::take(&mut cluster.urgent_rounds) {
-                    self.changed.notify_all();
-                }
+                self.wake(cluster);
             }
         }
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,7 +5,7 @@
 use crate::jobs::{Job, JobId};
 use crate::time::{Micros, Moment};
 use crate::workers::wire::TaskStatus;
-use crate::workers::{Attempt, Machine, Wanted};
+use crate::workers::{Attempt, Direct, Machine, Wanted};
 use std::collections::{BTreeMap, HashMap};
 
 /// Resources in whole thousandths, so that sums are exact.
@@ -264,6 +264,7 @@
                     wanted: Wanted::Run,
                     status: None,
                     sent: None,
+                    direct: Direct::Settled,
                     stop_sent: None,
                     placed_at: now,
                     running_since: None,
@@ -272,6 +273,7 @@
                 },
             );
             machine.idle_since = None;
+            self.poked.insert(place.name.clone());
             let cache_gb = self
                 .fleet
                 .catalog
@@ -487,6 +489,7 @@
             .and_then(|m| m.attempts.get_mut(&key))
         {
             a.wanted = Wanted::Stop { leeway };
+            self.poked.insert(machine.to_string());
         }
     }
 }
--- a/src/workers/edge.rs
+++ b/src/workers/edge.rs
@@ -1,10 +1,23 @@
-//! Check-ins as they arrive.
+//! Check-ins as they arrive, and direct calls as they leave.
 
 use super::CheckIn;
-use super::wire::{Misdirected, Orders, Report};
+use super::wire::{Commands, Misdirected, Orders, Report};
+use super::{DirectCall, DirectResult};
 use crate::http::cbor::{decode, encode};
+use crate::http::client::{CallError, Client};
 use crate::http::server::Response;
 use crate::node::Node;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// A worker that answers no sooner is told by its next check-in.
+const DIRECT_TIME: Duration = Duration::from_millis(1500);
+const MAX_CLIENTS: usize = 512;
+
+/// Kept-open connections to workers, by address.
+pub type WorkerClients = Mutex<HashMap<SocketAddr, Arc<Client>>>;
 
 impl Node {
     pub fn check_in(&self, body: &[u8]) -> Response {
@@ -29,11 +42,8 @@
         let (term, valid_until) = (lead.term, lead.valid_until);
         match cluster.check_in(&report, now) {
             CheckIn::Orders(orders) => {
-                let urgent = std::mem::take(&mut cluster.urgent_rounds);
+                self.wake(cluster);
                 drop(core);
-                if urgent {
-                    self.changed.notify_all();
-                }
                 let body = encode(&Orders {
                     token: term,
                     orders,
@@ -60,4 +70,94 @@
             .filter(|n| *n != self.settings.node);
         Response::new(421, encode(&Misdirected { foreman }))
     }
+
+    /// Wakes the threads that have something to do after a decision.
+    pub fn wake(&self, cluster: &mut crate::cluster::Cluster) {
+        if std::mem::take(&mut cluster.urgent_rounds) {
+            self.changed.notify_all();
+        }
+        if !cluster.poked.is_empty() {
+            self.poked.notify_one();
+        }
+    }
+
+    /// One of the threads that send orders straight to workers.
+    pub fn direct_loop(&self) {
+        loop {
+            let call = {
+                let mut core = self.core();
+                let now = self.now();
+                let call = core
+                    .acting(now)
+                    .and_then(|(_, cluster)| cluster.next_direct(now));
+                match call {
+                    Some(call) => {
+                        if core.acting(now).is_some_and(|(_, c)| !c.poked.is_empty()) {
+                            self.poked.notify_one();
+                        }
+                        call
+                    }
+                    None => {
+                        drop(
+                            self.poked
+                                .wait_timeout(core, Duration::from_secs(5))
+                                .unwrap_or_else(|e| e.into_inner()),
+                        );
+                        continue;
+                    }
+                }
+            };
+            let result = self.call_worker(&call);
+            let now = self.now();
+            let mut core = self.core();
+            // Even if the lead is in doubt by now: what is known of the start must be kept.
+            let Some(cluster) = core.cluster.as_mut().filter(|c| c.term == call.token) else {
+                continue;
+            };
+            cluster.direct_done(&call, result, now);
+            self.wake(cluster);
+        }
+    }
+
+    fn call_worker(&self, call: &DirectCall) -> DirectResult {
+        let Ok(addr) = call.addr.parse::<SocketAddr>() else {
+            return DirectResult::Unsent;
+        };
+        let client = {
+            let mut clients = self.workers.lock().unwrap_or_else(|e| e.into_inner());
+            if clients.len() > MAX_CLIENTS {
+                clients.clear();
+            }
+            clients
+                .entry(addr)
+                .or_insert_with(|| Arc::new(Client::new(addr)))
+                .clone()
+        };
+        let body = encode(&Commands {
+            token: call.token,
+            session: call.session,
+            orders: &call.orders,
+        });
+        match client.call("POST", "/commands", &body, DIRECT_TIME) {
+            Ok((200 | 409, body)) => match decode(&body) {
+                Ok(report) => DirectResult::Report(report),
+                Err(e) => {
+                    log::info!("malformed answer of {}: {e}", call.machine);
+                    DirectResult::Unknown
+                }
+            },
+            Ok((status, _)) => {
+                log::info!("{} answers {status} to orders", call.machine);
+                DirectResult::Unknown
+            }
+            Err(CallError::Unsent(e)) => {
+                log::debug!("{} not reached: {e}", call.machine);
+                DirectResult::Unsent
+            }
+            Err(CallError::Unknown(e)) => {
+                log::debug!("{}: {e}", call.machine);
+                DirectResult::Unknown
+            }
+        }
+    }
 }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -1,7 +1,7 @@
 //! Workers: their reports, sessions and leases, and the orders that follow from the difference
 //! between what is wanted of a machine and what it reports.
 
-mod edge;
+pub mod edge;
 pub mod wire;
 
 use crate::cluster::Cluster;
@@ -20,6 +20,18 @@
     Stop { leeway: Micros },
 }
 
+/// What became of a start that went straight to the worker's address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direct {
+    /// None is under way.
+    Settled,
+    InFlight,
+    /// No answer came. The network may hold the order back and deliver it at any time while
+    /// token and session match: nothing but the session's end frees the task for good, and the
+    /// attempt is never cleared, since a start after `clear` would run it again.
+    Uncertain,
+}
+
 /// One attempt of a task on one machine, in one session.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -28,6 +40,7 @@
     pub status: Option<TaskStatus>,
     /// The (session, tick) of the report in whose answer the start went out last.
     pub sent: Option<(u64, u64)>,
+    pub direct: Direct,
     pub stop_sent: Option<Moment>,
     pub placed_at: Moment,
     pub running_since: Option<Moment>,
@@ -89,6 +102,29 @@
     pub idle_since: Option<Moment>,
     pub list_status: Option<crate::fleet::ListStatus>,
     pub last_listed: Option<Moment>,
+    /// A direct call to it is under way.
+    pub calling: bool,
+}
+
+/// Orders for one machine that go straight to its address.
+#[derive(Debug)]
+pub struct DirectCall {
+    pub machine: String,
+    pub addr: String,
+    pub token: u64,
+    pub session: u64,
+    pub orders: Vec<Order>,
+    starts: Vec<AttemptKey>,
+}
+
+/// How a direct call ended.
+#[derive(Debug)]
+pub enum DirectResult {
+    /// Executed, or surely refused: the worker's report after it.
+    Report(Report),
+    /// Never sent.
+    Unsent,
+    Unknown,
 }
 
 impl Machine {
@@ -124,6 +160,7 @@
             idle_since: None,
             list_status: None,
             last_listed: None,
+            calling: false,
         }
     }
 
@@ -189,24 +226,38 @@
         let Some(machine) = self.machines.get_mut(&report.machine) else {
             return CheckIn::Stale;
         };
-        let seen = (machine.session, machine.tick);
-        if (report.session, report.tick) <= seen
-            || (machine.lost && report.session <= machine.session)
-        {
-            // Its task list is as old as the report itself; after an expired lease the session
-            // is over whatever a late report says.
+        if report.session < machine.session || (machine.lost && report.session <= machine.session) {
+            // After an expired lease the session is over, whatever a late report says.
             return CheckIn::Stale;
         }
+        machine.lease_from = now;
+        if (report.session, report.tick) > (machine.session, machine.tick) {
+            self.take_in(report, true, now);
+        }
+        // Else the answer of a direct call overtook this report, whose task list is older than
+        // what is known; the answer to it is as good as any.
+        self.release_if_all_seen(now);
+        if self.dirty {
+            self.place(now);
+        }
+        CheckIn::Orders(self.orders(&report.machine, now))
+    }
+
+    /// Takes in a report that is newer than what is known. `checked_in`: it came as a check-in,
+    /// not as the answer of a direct call.
+    fn take_in(&mut self, report: &Report, checked_in: bool, now: Moment) {
+        let Some(machine) = self.machines.get(&report.machine) else {
+            return;
+        };
         if report.session > machine.session && machine.session > 0 {
             self.end_session(&report.machine);
         }
         let Some(machine) = self.machines.get_mut(&report.machine) else {
-            return CheckIn::Stale;
+            return;
         };
         machine.session = report.session;
         machine.tick = report.tick;
         machine.lost = false;
-        machine.lease_from = now;
         if machine.last_report.is_none() {
             machine.known_since = now;
         }
@@ -221,15 +272,10 @@
             machine.counted_in = true;
             self.dirty = true;
         }
-        self.apply_tasks(report, now);
-        self.release_if_all_seen(now);
-        if self.dirty {
-            self.place(now);
-        }
-        CheckIn::Orders(self.orders(&report.machine, now))
+        self.apply_tasks(report, checked_in, now);
     }
 
-    fn apply_tasks(&mut self, report: &Report, now: Moment) {
+    fn apply_tasks(&mut self, report: &Report, checked_in: bool, now: Moment) {
         let name = &report.machine;
         let cache_gb = self.fleet.cache_of(&report.type_name);
         let mut shown = BTreeSet::new();
@@ -264,6 +310,7 @@
                     wanted: Wanted::Run,
                     status: None,
                     sent: None,
+                    direct: Direct::Settled,
                     stop_sent: None,
                     placed_at: now,
                     running_since: None,
@@ -330,14 +377,14 @@
             let Some(attempt) = machine.attempts.get(&key) else {
                 continue;
             };
-            // Orders travel only in answers, and a worker has one report in flight: once it
-            // sends a newer report that doesn't show the start, that start never happens.
+            // A worker has one check-in in flight: once it sends a newer one that doesn't show
+            // the start, the answer that held the start was dropped. The answer of a direct call
+            // proves nothing: it may have been made while the check-in's answer was on its way.
             let never = match (attempt.status, attempt.sent) {
                 (Some(_), _) => true,
-                (None, Some(sent)) => {
-                    sent < (report.session, report.tick) && attempt.wanted != Wanted::Run
-                }
-                (None, None) => attempt.wanted != Wanted::Run,
+                _ if attempt.direct != Direct::Settled || attempt.wanted == Wanted::Run => false,
+                (None, Some(sent)) => checked_in && sent < (report.session, report.tick),
+                (None, None) => true,
             };
             if never {
                 let holds = attempt.holds();
@@ -424,6 +471,7 @@
             };
             match (attempt.status, attempt.wanted) {
                 // The worker's memory is the second copy of an outcome until it is recorded.
+                (Some(TaskStatus::Exited), _) if attempt.direct != Direct::Settled => {}
                 (Some(TaskStatus::Exited), _)
                     if !attempt.done || job.recorded.contains(key.1) || job.outcome.is_some() =>
                 {
@@ -444,7 +492,7 @@
                 }
                 (None, Wanted::Run) => {
                     if job.cancel_asked || job.outcome.is_some() {
-                        if attempt.sent.is_none() {
+                        if attempt.sent.is_none() && attempt.direct == Direct::Settled {
                             dropped.push(*key);
                         } else {
                             attempt.wanted = Wanted::Stop {
@@ -456,7 +504,11 @@
                     attempt.sent = Some(here);
                     starts.push(order(Verb::Run, None));
                 }
-                (None, Wanted::Stop { .. }) if attempt.sent.is_none() => dropped.push(*key),
+                (None, Wanted::Stop { .. })
+                    if attempt.sent.is_none() && attempt.direct == Direct::Settled =>
+                {
+                    dropped.push(*key);
+                }
                 _ => {}
             }
         }
@@ -471,4 +523,111 @@
         orders.truncate(MAX_ORDERS);
         orders
     }
+
+    /// The next machine with orders that need not wait for its check-in.
+    pub fn next_direct(&mut self, now: Moment) -> Option<DirectCall> {
+        while let Some(name) = self.poked.pop_first() {
+            if let Some(call) = self.direct_call(&name, now) {
+                return Some(call);
+            }
+        }
+        None
+    }
+
+    fn direct_call(&mut self, name: &str, now: Moment) -> Option<DirectCall> {
+        let fresh = self.config.report.scaled(2.0);
+        let machine = self.machines.get_mut(name)?;
+        let heard = machine.last_report.is_some_and(|t| now - t < fresh);
+        if machine.calling || !machine.counted_in || machine.lost || !heard {
+            return None;
+        }
+        let mut orders = Vec::new();
+        let mut starts = Vec::new();
+        for (key, attempt) in &mut machine.attempts {
+            let Some(job) = self.jobs.table.get(&key.0) else {
+                continue;
+            };
+            let verb = match (attempt.status, attempt.wanted) {
+                (None, Wanted::Run)
+                    if attempt.sent.is_none()
+                        && attempt.direct == Direct::Settled
+                        && !job.cancel_asked
+                        && job.outcome.is_none() =>
+                {
+                    Verb::Run
+                }
+                (Some(status), Wanted::Stop { .. })
+                    if status != TaskStatus::Exited && attempt.stop_sent.is_none() =>
+                {
+                    Verb::Stop
+                }
+                _ => continue,
+            };
+            let leeway_s = match attempt.wanted {
+                Wanted::Stop { leeway } => Some(leeway.as_secs_f64()),
+                Wanted::Run => None,
+            };
+            orders.push(Order {
+                verb,
+                piece: format!("{}/{}", job.spec.id, key.1),
+                attempt: key.2,
+                leeway_s,
+            });
+            if verb == Verb::Run {
+                attempt.direct = Direct::InFlight;
+                starts.push(*key);
+            } else {
+                attempt.stop_sent = Some(now);
+            }
+            if orders.len() >= MAX_ORDERS {
+                break;
+            }
+        }
+        if orders.is_empty() {
+            return None;
+        }
+        // Stops go first: they make the room that the starts need.
+        orders.sort_by_key(|o| o.verb == Verb::Run);
+        machine.calling = true;
+        Some(DirectCall {
+            machine: name.to_string(),
+            addr: machine.addr.clone(),
+            token: self.term,
+            session: machine.session,
+            orders,
+            starts,
+        })
+    }
+
+    /// Settles a direct call. It renews no lease.
+    pub fn direct_done(&mut self, call: &DirectCall, result: DirectResult, now: Moment) {
+        let Some(machine) = self.machines.get_mut(&call.machine) else {
+            return;
+        };
+        machine.calling = false;
+        let settled = match result {
+            DirectResult::Unknown => Direct::Uncertain,
+            _ => Direct::Settled,
+        };
+        for key in &call.starts {
+            if let Some(attempt) = machine.attempts.get_mut(key) {
+                attempt.direct = settled;
+            }
+        }
+        if let DirectResult::Report(report) = result
+            && report.machine == call.machine
+            && report.token <= self.term
+            && !machine.lost
+            && (report.session, report.tick) > (machine.session, machine.tick)
+        {
+            self.take_in(&report, false, now);
+            if self.dirty {
+                self.place(now);
+            }
+        }
+        // What was decided meanwhile waits for the next call.
+        if settled == Direct::Settled {
+            self.poked.insert(call.machine.clone());
+        }
+    }
 }
--- a/src/workers/wire.rs
+++ b/src/workers/wire.rs
@@ -103,3 +103,12 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     pub foreman: Option<String>,
 }
+
+#[derive(Debug, Serialize)]
+pub struct Commands<'a> {
+    #[serde(rename = "baton")]
+    pub token: u64,
+    #[serde(rename = "shift")]
+    pub session: u64,
+    pub orders: &'a [Order],
+}
