--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -444,6 +444,7 @@
                     let lower = v.spec.rank < rank;
                     let borrowed = !priority.beyond_guarantee
                         && v_team != team
+                        && v.spec.rank <= rank
                         && over.get(&v_team).is_some_and(|o| *o >= v.spec.need.cpu);
                     let lost = (now - a.running_since.unwrap_or(now)).0;
                     (lower || borrowed).then_some((lost, *k, v.spec.need, v_team, lower))
