--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -42,6 +42,10 @@
     pub released: bool,
     /// Something changed that a placement pass should look at.
     pub dirty: bool,
+    /// Machines on record that may hold tasks of earlier terms, not counted in yet.
+    pub unseen: BTreeSet<String>,
+    /// Recorded machines that are gone: their records may go too.
+    pub unrecord: BTreeSet<String>,
     /// Machines with orders that go straight to them.
     pub poked: BTreeSet<String>,
     /// A job's final state waits for its record.
@@ -61,6 +65,8 @@
             rng: fastrand::Rng::with_seed(seed),
             released: false,
             dirty: true,
+            unseen: BTreeSet::new(),
+            unrecord: BTreeSet::new(),
             poked: BTreeSet::new(),
             urgent_rounds: false,
         }
@@ -193,11 +199,35 @@
     }
 
     /// Lets jobs of earlier terms go once no unseen machine can hold their tasks any more.
+    ///
+    /// A machine gets its first task only once its name is on record, so the records name every
+    /// machine that can hold anything of an earlier term. Once each of them was counted in under
+    /// this term, or its session surely ended, nothing is unseen, and the wait for a full lease
+    /// can end early.
     pub fn release_if_all_seen(&mut self, now: Moment) {
-        if self.released || now - self.started < self.lease_span() {
+        if self.released {
             return;
         }
-        log::info!("a full lease has passed: earlier jobs are released");
+        let machines = &self.machines;
+        let fleet = &self.fleet;
+        self.unseen.retain(|name| {
+            let seen = machines
+                .get(name)
+                .is_some_and(|m| m.counted_in || m.session_over);
+            !seen && !fleet.is_gone(name)
+        });
+        if !self.unseen.is_empty() && now - self.started < self.lease_span() {
+            return;
+        }
+        log::info!(
+            "earlier jobs are released, {} machines unseen",
+            self.unseen.len()
+        );
+        for name in std::mem::take(&mut self.unseen) {
+            if !self.machines.contains_key(&name) {
+                self.unrecord.insert(name);
+            }
+        }
         self.released = true;
         self.dirty = true;
         for job in self.jobs.table.values_mut() {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -71,6 +71,9 @@
     pub last_list: Option<Moment>,
 }
 
+/// The key that names a machine which may hold tasks.
+pub const FLEET_PREFIX: &str = "fleet/";
+
 /// How long a refused kind of machine isn't asked for again.
 const NO_ROOM_PAUSE: Micros = Micros::from_secs(10);
 const MAX_HIRE: u32 = 50;
@@ -268,7 +271,7 @@
                 continue;
             }
             let total = self.fleet.room_of(&l.type_name);
-            let started = self.started;
+            let (started, unseen) = (self.started, &self.unseen);
             let m = self.machines.entry(l.name.clone()).or_insert_with(|| {
                 let mut m = crate::workers::Machine::new(
                     &l.name,
@@ -279,6 +282,7 @@
                     now,
                 );
                 m.lease_from = started;
+                m.recorded = unseen.contains(&l.name);
                 m.known_since = Moment(now.0.saturating_sub((l.held_s.0 * 1e6) as u64));
                 m
             });
@@ -307,9 +311,48 @@
             .map(|m| m.name.clone())
             .collect();
         for name in gone {
-            self.end_session(&name);
-            self.machines.remove(&name);
+            self.drop_machine(&name);
+        }
+    }
+
+    fn drop_machine(&mut self, name: &str) {
+        self.end_session(name);
+        if self.machines.remove(name).is_some_and(|m| m.recorded) {
+            self.unrecord.insert(name.to_string());
+        }
+    }
+
+    /// Names to write to, and to delete from, the fleet's record.
+    pub fn due_fleet_records(&self, most: usize) -> (Vec<String>, Vec<String>) {
+        let add: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| !m.recorded && !m.returning)
+            .map(|m| m.name.clone())
+            .take(most)
+            .collect();
+        let left = most - add.len();
+        let delete = if self.released {
+            self.unrecord.iter().take(left).cloned().collect()
+        } else {
+            Vec::new()
+        };
+        (add, delete)
+    }
+
+    pub fn fleet_recorded(&mut self, added: &[String], deleted: &[String]) {
+        for name in added {
+            match self.machines.get_mut(name) {
+                Some(m) => m.recorded = true,
+                None => {
+                    self.unrecord.insert(name.clone());
+                }
+            }
+        }
+        for name in deleted {
+            self.unrecord.remove(name);
         }
+        self.dirty = true;
     }
 
     /// Chooses machines to return, and names those whose return is due now.
@@ -352,8 +395,7 @@
     /// The cloud said that these machines, and everything on them, are gone.
     pub fn returned(&mut self, names: &[String]) {
         for name in names {
-            self.end_session(name);
-            self.machines.remove(name);
+            self.drop_machine(name);
             self.fleet.gone.push_back(name.clone());
         }
         while self.fleet.gone.len() > GONE_KEPT {
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -4,7 +4,9 @@
 use super::{DoneRecord, JobView};
 use crate::node::Node;
 use crate::state_store::bucket::TokenBucket;
-use crate::state_store::{Commit, StoreError, Urgency, from_value};
+use crate::fleet::FLEET_PREFIX;
+use crate::state_store::{Change, Commit, StoreError, Urgency, from_value};
+use ciborium::Value;
 use crate::time::{Micros, Moment};
 use std::time::Duration;
 
@@ -22,7 +24,7 @@
         loop {
             std::thread::sleep(GATHER);
             let now = self.now();
-            let (writes, guard) = {
+            let (writes, guard, added, deleted) = {
                 let mut core = self.core();
                 let Some((lead, cluster)) = core.acting(now) else {
                     drop(
@@ -44,7 +46,10 @@
                     let left = budget.saturating_sub(used);
                     writes.extend(cluster.due_retirements(left, site.txn_ops));
                 }
-                if writes.is_empty() || now < not_before {
+                let most = site.txn_ops.min(site.write_rps as usize / 2).max(1);
+                let (added, deleted) = cluster.due_fleet_records(most);
+                let idle = writes.is_empty() && added.is_empty() && deleted.is_empty();
+                if idle || now < not_before {
                     let wait = (next_round - now)
                         .max(not_before - now)
                         .duration()
@@ -56,8 +61,33 @@
                     );
                     continue;
                 }
-                (writes, guard)
+                (writes, guard, added, deleted)
             };
+            if !added.is_empty() || !deleted.is_empty() {
+                let write = |n: &String| {
+                    Change::write(format!("{FLEET_PREFIX}{n}"), Value::Bool(true))
+                };
+                let delete = |n: &String| Change::delete(format!("{FLEET_PREFIX}{n}"));
+                let changes: Vec<Change> = added
+                    .iter()
+                    .map(write)
+                    .chain(deleted.iter().map(delete))
+                    .collect();
+                tokens.force(changes.len() as f64, self.now());
+                let guards = [guard.clone()];
+                match self.store.multi(&guards, &changes, Urgency::Normal) {
+                    Ok(Commit::Done { .. }) => {
+                        if let Some(cluster) = &mut self.core().cluster {
+                            cluster.fleet_recorded(&added, &deleted);
+                        }
+                    }
+                    Ok(Commit::Conflict { .. }) => self.core().step_down = true,
+                    Err(e) => {
+                        log::debug!("machines not recorded: {e}");
+                        not_before = self.now() + Micros::from_millis(200);
+                    }
+                }
+            }
             for pack in pack(writes, site.txn_ops) {
                 let mut guards = vec![guard.clone()];
                 guards.extend(pack.iter().flat_map(|w| w.guards.iter().cloned()));
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -2,6 +2,7 @@
 
 use super::{LEADER_KEY, Lead, LeaderRecord, Take, hold_until, take};
 use crate::cluster::Cluster;
+use crate::fleet::FLEET_PREFIX;
 use crate::jobs::DoneRecord;
 use crate::jobs::spec::Submission;
 use crate::node::Node;
@@ -174,7 +175,7 @@
             cluster.fleet.catalog = catalog.to_vec();
         }
         let mut jobs_epoch = None;
-        for prefix in ["jobs/", "done/"] {
+        for prefix in ["jobs/", "done/", FLEET_PREFIX] {
             let mut since: Option<String> = None;
             loop {
                 if !self.renew_if_due(lead.permit, renewed) {
@@ -202,6 +203,8 @@
                             continue;
                         };
                         cluster.add_job(&s, row.stamp, row.stamp <= lead.stamp, now, wall);
+                    } else if prefix == FLEET_PREFIX {
+                        cluster.unseen.insert(rest.to_string());
                     } else if let Some((id, chunk)) = rest.split_once('/')
                         && let Ok(chunk) = chunk.parse()
                     {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -190,7 +190,7 @@
         let fresh = m
             .last_report
             .is_some_and(|t| now - t < self.config.report.scaled(2.0));
-        m.counted_in && !m.lost && !m.returning && !m.faulty && !m.recalled && fresh
+        m.counted_in && m.recorded && !m.lost && !m.returning && !m.faulty && !m.recalled && fresh
     }
 
     /// One pass: binds waiting tasks to machines and marks what must make room.
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -87,6 +87,10 @@
     pub counted_in: bool,
     /// Its lease ran out without a report: nothing is on it.
     pub lost: bool,
+    /// Nothing of an earlier term can be on it, though it may not be counted in.
+    pub session_over: bool,
+    /// Its name is in the state service; before, it gets no task.
+    pub recorded: bool,
     /// The lease can't have been renewed by anyone after this.
     pub lease_from: Moment,
     pub last_report: Option<Moment>,
@@ -147,6 +151,8 @@
             tick: 0,
             counted_in: false,
             lost: false,
+            session_over: false,
+            recorded: false,
             lease_from: now,
             last_report: None,
             recalled: false,
@@ -221,6 +227,7 @@
                 now,
             );
             machine.lease_from = self.started;
+            machine.recorded = self.unseen.contains(&report.machine);
             self.machines.insert(report.machine.clone(), machine);
         }
         let Some(machine) = self.machines.get_mut(&report.machine) else {
@@ -407,6 +414,7 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
+        machine.session_over = true;
         machine.ghosts.clear();
         for (key, attempt) in std::mem::take(&mut machine.attempts) {
             if attempt.holds()
@@ -424,7 +432,7 @@
         let expired: Vec<String> = self
             .machines
             .values()
-            .filter(|m| !m.lost && now - m.lease_from >= span)
+            .filter(|m| !m.lost && m.last_report.is_some() && now - m.lease_from >= span)
             .map(|m| m.name.clone())
             .collect();
         for name in expired {
