--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -235,6 +235,26 @@
         }
     }
 
+    /// True when most machines fell silent together: rather this node is cut off than they are.
+    ///
+    /// The state service may still serve a leader that no worker reaches; it would keep its hold
+    /// while every lease runs out.
+    pub fn unheard(&self, acting_since: Moment, now: Moment) -> bool {
+        let patience = self.config.report.scaled(1.5);
+        if now - acting_since < patience.scaled(2.0) {
+            return false;
+        }
+        let silent_at = |m: &&Machine| m.last_report.is_none_or(|t| now - t > patience);
+        let known: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| !m.lost && !m.returning && !m.recalled)
+            .filter(|m| m.last_report.is_some() || self.unseen.contains(&m.name))
+            .collect();
+        let silent = known.iter().filter(|m| silent_at(m)).count();
+        known.len() >= 3 && 2 * silent > known.len()
+    }
+
     /// What time alone changes.
     pub fn tick(&mut self, now: Moment) {
         self.expire_leases(now);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -371,12 +371,17 @@
             }
             let idle = m.idle_since.is_some_and(|t| now - t > idle_time) && !m.busy();
             let boot = boots.get(&m.type_name).copied().unwrap_or(idle_time);
+            // A new leader hears from machines one by one: whoever was not heard from since it
+            // took over is not thereby one that never came up.
             let never_up = m.last_report.is_none()
-                && !m.lost
+                && m.list_status != Some(ListStatus::Running)
+                && now - self.started > lease
                 && now - m.known_since > boot.scaled(4.0) + Micros::from_secs(10);
+            let mute = m.last_report.is_none()
+                && now - self.started.max(m.known_since) > lease.scaled(2.0) + boot.scaled(4.0);
             let silent = m.lost && m.last_report.is_some_and(|t| now - t > lease.scaled(1.5));
             let faulty = m.faulty && !m.busy();
-            if (idle && m.counted_in) || never_up || silent || faulty {
+            if (idle && m.counted_in) || never_up || mute || silent || faulty {
                 log::info!(
                     "machine {}: to be returned (idle {idle}, never up {never_up}, silent {silent}, faulty {faulty})",
                     m.name
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -27,7 +27,9 @@
                 Ok(Some(row)) => self.follow(row.data, row.stamp),
                 Ok(None) => {
                     self.core().known_leader = None;
-                    pause(10, 150);
+                    if !self.may_stand() {
+                        continue;
+                    }
                     match take(
                         &self.store,
                         &self.clock,
@@ -50,6 +52,25 @@
         }
     }
 
+    /// Waits before standing: whoever workers reach goes first.
+    fn may_stand(&self) -> bool {
+        let now = self.now();
+        let (knocks, abstaining) = {
+            let core = self.core();
+            let recent = |t: &&Moment| now - **t < Micros::from_secs(4);
+            let knocks = core.knocks.iter().filter(recent).count() as u64;
+            (knocks, core.abstain_until > now)
+        };
+        if abstaining {
+            // Long enough for the others, if there are any, to take it.
+            pause(1500, 2500);
+            return matches!(self.store.get(LEADER_KEY, Urgency::Lead), Ok(None));
+        }
+        let wait = 500 / (1 + knocks);
+        pause(wait, wait + 60);
+        true
+    }
+
     /// Waits while somebody else leads.
     fn follow(&self, data: ciborium::Value, stamp: u64) {
         let record: Option<LeaderRecord> = from_value(&data);
--- a/src/node.rs
+++ b/src/node.rs
@@ -20,6 +20,10 @@
 /// Threads that send orders straight to workers; each waits for one worker at a time.
 const DIRECT_THREADS: usize = 6;
 
+/// How long a node that stood down for want of workers lets others go first. If nobody does, it
+/// goes on, and doesn't stand down for the same reason again until then.
+const ABSTAIN: Micros = Micros::from_secs(40);
+
 /// Final answers that a node remembers; older ones are read from the state service.
 const FINALS_KEPT: usize = 4000;
 
@@ -57,6 +61,10 @@
     pub finals: Finals,
     /// The lead is to be given up.
     pub step_down: bool,
+    /// Stood down for want of workers: others go first until then.
+    pub abstain_until: Moment,
+    /// Check-ins that were refused lately, as a sign of who workers can reach.
+    pub knocks: VecDeque<Moment>,
     /// Where the watch on jobs goes on.
     pub jobs_epoch: u64,
 }
@@ -199,13 +207,26 @@
     }
 
     fn tick_loop(&self) {
+        // Silence counts only while this node answers: during an outage it turns workers away.
+        let mut acting_since: Option<Moment> = None;
         loop {
             std::thread::sleep(std::time::Duration::from_millis(250));
             let now = self.now();
             let mut core = self.core();
+            if core.acting(now).is_none() {
+                acting_since = None;
+            } else {
+                acting_since.get_or_insert(now);
+            }
             if let Some((_, cluster)) = core.acting(now) {
                 cluster.tick(now);
                 self.wake(cluster);
+                let unheard = acting_since.is_some_and(|since| cluster.unheard(since, now));
+                if unheard && core.abstain_until <= now {
+                    log::info!("most workers are silent: standing down");
+                    core.step_down = true;
+                    core.abstain_until = now + ABSTAIN;
+                }
             }
         }
     }
--- a/src/workers/edge.rs
+++ b/src/workers/edge.rs
@@ -14,6 +14,7 @@
 
 /// A worker that answers no sooner is told by its next check-in.
 const DIRECT_TIME: Duration = Duration::from_millis(1500);
+const MAX_KNOCKS: usize = 64;
 const MAX_CLIENTS: usize = 512;
 
 /// Kept-open connections to workers, by address.
@@ -25,6 +26,10 @@
         {
             let mut core = self.core();
             if core.acting(now).is_none() {
+                core.knocks.push_back(now);
+                while core.knocks.len() > MAX_KNOCKS {
+                    core.knocks.pop_front();
+                }
                 return self.misdirected(&core);
             }
         }
