--- a/src/cli.rs
+++ b/src/cli.rs
@@ -42,6 +42,11 @@
     #[arg(long, env = "ASPENREEL_IDLE_MS", default_value_t = 30_000,
           value_parser = clap::value_parser!(u64).range(1000..=86_400_000))]
     pub idle_ms: u64,
+    /// Work that would wait longer than this for a place asks for a new spot machine, in
+    /// milliseconds
+    #[arg(long, env = "ASPENREEL_PATIENCE_MS", default_value_t = 0,
+          value_parser = clap::value_parser!(u64).range(0..=86_400_000))]
+    pub patience_ms: u64,
     /// The platform's settings file (TOML)
     #[arg(long, value_name = "FILE")]
     pub config: PathBuf,
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -6,7 +6,7 @@
 use crate::fleet::Fleet;
 use crate::jobs::spec::Submission;
 use crate::jobs::{DoneRecord, Job, JobId, JobView, Jobs, Outcome, ViewState, new_job};
-use crate::settings::TeamSettings;
+use crate::settings::{Objective, TeamSettings};
 use crate::time::{Micros, Moment, WallTime, at_most};
 use crate::workers::Machine;
 use crate::workers::wire::TaskStatus;
@@ -21,6 +21,9 @@
     pub list_lag: Micros,
     pub sample: usize,
     pub idle: Micros,
+    /// A new machine is worth renting if work would wait longer than this.
+    pub patience: Micros,
+    pub objectives: Vec<Objective>,
 }
 
 /// Beside clock drift, allow for timers and for time between reading a clock and sending.
@@ -42,6 +45,8 @@
     pub released: bool,
     /// Something changed that a placement pass should look at.
     pub dirty: bool,
+    /// How long tasks of a class ran, against their owners' estimates.
+    pub estimate_ratio: BTreeMap<String, f64>,
     /// Machines on record that may hold tasks of earlier terms, not counted in yet.
     pub unseen: BTreeSet<String>,
     /// Recorded machines that are gone: their records may go too.
@@ -65,6 +70,7 @@
             rng: fastrand::Rng::with_seed(seed),
             released: false,
             dirty: true,
+            estimate_ratio: BTreeMap::new(),
             unseen: BTreeSet::new(),
             unrecord: BTreeSet::new(),
             poked: BTreeSet::new(),
@@ -255,6 +261,59 @@
         known.len() >= 3 && 2 * silent > known.len()
     }
 
+    /// Learns from a finished task.
+    pub fn note_run(&mut self, id: JobId, ran: Micros) {
+        let Some(job) = self.jobs.table.get_mut(&id) else {
+            return;
+        };
+        job.runs.0 += 1;
+        job.runs.1 = job.runs.1 + ran;
+        let guess = job.spec.estimate.as_secs_f64();
+        if guess > 0.0 {
+            let seen = (ran.as_secs_f64() / guess).clamp(0.1, 10.0);
+            let ratio = self
+                .estimate_ratio
+                .entry(job.spec.class.clone())
+                .or_insert(1.0);
+            *ratio += 0.05 * (seen - *ratio);
+        }
+    }
+
+    /// How long a task of the job should run: its own finished tasks tell most.
+    pub fn expected_run(&self, job: &Job) -> Micros {
+        let ratio = self
+            .estimate_ratio
+            .get(&job.spec.class)
+            .copied()
+            .unwrap_or(1.0);
+        let guess = job.spec.estimate.scaled(ratio);
+        let (n, sum) = job.runs;
+        Micros((guess.0 + sum.0) / u64::from(n + 1))
+    }
+
+    /// When the job's tasks should start at the latest: by its own deadline, else by what the
+    /// operator aims at for its class.
+    pub fn latest_start(&self, job: &Job) -> Moment {
+        let before = |due: Moment| {
+            let run = self.expected_run(job).scaled(1.2);
+            Moment(due.0.saturating_sub(run.0))
+        };
+        let mut latest = job.due_at().map(before);
+        for o in self.config.objectives.iter() {
+            if o.class.as_deref() != Some(job.spec.class.as_str()) || o.within_s <= 0.0 {
+                continue;
+            }
+            let at = job.accepted_at + Micros::from_secs_f64(o.within_s);
+            let by = match o.kind.as_str() {
+                "wait" => at,
+                "finished" => before(at),
+                _ => continue,
+            };
+            latest = Some(latest.map_or(by, |l| l.min(by)));
+        }
+        latest.unwrap_or(job.accepted_at)
+    }
+
     /// What time alone changes.
     pub fn tick(&mut self, now: Moment) {
         self.expire_leases(now);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub mod wire;
 
 use crate::cluster::Cluster;
+use crate::jobs::Job;
 use crate::placement::Room;
 use crate::time::{Micros, Moment};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -49,6 +50,40 @@
     pub count: u32,
 }
 
+/// A machine as the plan sees it: room, and when it gets free.
+struct Bin {
+    type_index: usize,
+    zone: String,
+    spot: bool,
+    releases: Vec<(Moment, Room)>,
+}
+
+impl Bin {
+    /// When enough is free for one more task.
+    fn earliest(&self, need: Room) -> Option<Moment> {
+        let mut free = Room::default();
+        self.releases.iter().find_map(|(at, room)| {
+            free = free.plus(*room);
+            need.fits(free).then_some(*at)
+        })
+    }
+
+    /// Takes room for a task from `start` for `run`.
+    fn take(&mut self, start: Moment, need: Room, run: Micros) {
+        let mut free = Room::default();
+        self.releases.retain(|(at, room)| {
+            let taken = *at <= start;
+            if taken {
+                free = free.plus(*room);
+            }
+            !taken
+        });
+        self.releases.push((start, free.minus(need)));
+        self.releases.push((start + run, need));
+        self.releases.sort_by_key(|r| r.0);
+    }
+}
+
 #[derive(Debug)]
 pub enum HireResult {
     Rented(Vec<String>),
@@ -76,6 +111,8 @@
 
 /// How long a refused kind of machine isn't asked for again.
 const NO_ROOM_PAUSE: Micros = Micros::from_secs(10);
+/// Tasks of one job that a plan looks at.
+const MAX_PLANNED: u32 = 300;
 const MAX_HIRE: u32 = 50;
 const MAX_RETURN: usize = 100;
 const GONE_KEPT: usize = 2000;
@@ -148,82 +185,142 @@
         }
     }
 
-    /// Packs the waiting tasks on free and booting machines; what is left asks for new ones.
+    /// Plans the waiting tasks on what is there and on its way, in order of priority; a task
+    /// that would start too late there asks for a new machine.
     fn wanted_offers(&self, now: Moment) -> BTreeMap<Offer, u32> {
-        struct Bin {
-            type_index: Option<usize>,
-            zone: String,
-            spot: bool,
-            room: Room,
+        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        let order = self.order(now);
+        if order.is_empty() {
+            return wanted;
         }
-        let index_of = |name: &str| self.fleet.catalog.iter().position(|t| t.name == name);
         let mut bins: Vec<Bin> = self
             .machines
             .values()
             .filter(|m| !m.returning && !m.faulty && !m.recalled && !m.lost)
             .filter(|m| m.list_status != Some(ListStatus::Failed))
-            .map(|m| Bin {
-                type_index: index_of(&m.type_name),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                room: if m.last_report.is_none() {
-                    self.fleet.room_of(&m.type_name)
-                } else {
-                    self.free_room(m)
-                },
-            })
+            .filter_map(|m| self.bin_of(m, now))
             .collect();
         let offers = self.fleet.offers();
-        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         let mut team_room = self.team_room();
-        for (_, id) in self.order(now) {
+        for (_, id) in order {
             let Some(job) = self.jobs.table.get(&id) else {
                 continue;
             };
             let Some(team) = job.team else { continue };
             let need = job.spec.need;
-            for _ in 0..job.ready() {
+            let run = self.expected_run(job);
+            let latest = self.latest_start(job);
+            let soon = now + self.config.patience;
+            for _ in 0..job.ready().min(MAX_PLANNED) {
                 if !need.fits(team_room[team]) {
                     break;
                 }
-                let allowed = |type_index: Option<usize>, zone: &str, spot: bool| {
-                    type_index
-                        .is_some_and(|t| job.spec.allows(&self.fleet.catalog[t].name, zone, spot))
-                };
-                let bin = bins
-                    .iter_mut()
-                    .find(|b| need.fits(b.room) && allowed(b.type_index, &b.zone, b.spot));
-                if let Some(bin) = bin {
-                    bin.room = bin.room.minus(need);
-                    team_room[team] = team_room[team].minus(need);
+                team_room[team] = team_room[team].minus(need);
+                let best = bins
+                    .iter()
+                    .enumerate()
+                    .filter(|(_, b)| {
+                        let t = &self.fleet.catalog[b.type_index];
+                        need.fits(t.room) && job.spec.allows(&t.name, &b.zone, b.spot)
+                    })
+                    .filter_map(|(i, b)| Some((b.earliest(need)?.max(now), i)))
+                    .min();
+                if let Some((start, i)) = best
+                    && start <= latest.min(soon)
+                {
+                    bins[i].take(start, need, run);
                     continue;
                 }
-                let best = offers
-                    .iter()
-                    .filter(|(o, _)| allowed(Some(o.type_index), &o.zone, o.spot))
-                    .filter(|(o, _)| need.fits(self.fleet.catalog[o.type_index].room))
-                    .filter(|(o, _)| self.fleet.no_room.get(o).is_none_or(|t| *t <= now))
-                    .min_by(|(a, pa), (b, pb)| {
-                        let cost = |o: &Offer, price: f64| {
-                            let room = self.fleet.catalog[o.type_index].room;
-                            price / f64::from(room.times(need).max(1))
+                let existing = best.map(|(start, _)| start);
+                let offer = self.choose_offer(job, &offers, existing, latest, now);
+                match (offer, best) {
+                    (Some(offer), _) => {
+                        *wanted.entry(offer.clone()).or_insert(0) += 1;
+                        let t = &self.fleet.catalog[offer.type_index];
+                        let up = now + t.boot;
+                        let mut bin = Bin {
+                            type_index: offer.type_index,
+                            zone: offer.zone.clone(),
+                            spot: offer.spot,
+                            releases: vec![(up, t.room)],
                         };
-                        cost(a, *pa).total_cmp(&cost(b, *pb))
-                    });
-                let Some((offer, _)) = best else { break };
-                *wanted.entry(offer.clone()).or_insert(0) += 1;
-                bins.push(Bin {
-                    type_index: Some(offer.type_index),
-                    zone: offer.zone.clone(),
-                    spot: offer.spot,
-                    room: self.fleet.catalog[offer.type_index].room.minus(need),
-                });
-                team_room[team] = team_room[team].minus(need);
+                        bin.take(up, need, run);
+                        bins.push(bin);
+                    }
+                    (None, Some((start, i))) => bins[i].take(start, need, run),
+                    (None, None) => break,
+                }
             }
         }
         wanted
     }
 
+    /// The cheapest offer that helps: spot machines wherever they start the task sooner,
+    /// ordinary ones only where they make the difference to its deadline, or for want of others.
+    fn choose_offer(
+        &self,
+        job: &Job,
+        offers: &[(Offer, f64)],
+        existing: Option<Moment>,
+        latest: Moment,
+        now: Moment,
+    ) -> Option<Offer> {
+        let need = job.spec.need;
+        offers
+            .iter()
+            .filter(|(o, _)| {
+                let t = &self.fleet.catalog[o.type_index];
+                let up = now + t.boot;
+                job.spec.allows(&t.name, &o.zone, o.spot)
+                    && need.fits(t.room)
+                    && self.fleet.no_room.get(o).is_none_or(|t| *t <= now)
+                    && existing.is_none_or(|start| {
+                        let sooner = up < start;
+                        sooner && (o.spot || !job.spec.spot || up <= latest)
+                    })
+            })
+            .min_by(|(a, pa), (b, pb)| {
+                let cost = |o: &Offer, price: f64| {
+                    let room = self.fleet.catalog[o.type_index].room;
+                    price / f64::from(room.times(need).max(1))
+                };
+                cost(a, *pa).total_cmp(&cost(b, *pb))
+            })
+            .map(|(offer, _)| offer.clone())
+    }
+
+    /// When room gets free on a machine, as far as can be told.
+    fn bin_of(&self, m: &crate::workers::Machine, now: Moment) -> Option<Bin> {
+        let type_index = self
+            .fleet
+            .catalog
+            .iter()
+            .position(|t| t.name == m.type_name)?;
+        let mut releases = Vec::new();
+        if m.last_report.is_none() {
+            let boot = self.fleet.catalog[type_index].boot;
+            let up = (m.known_since + boot).max(now + Micros::from_secs(2));
+            releases.push((up, self.fleet.catalog[type_index].room));
+        } else {
+            releases.push((now, self.free_room(m)));
+            for (key, attempt) in m.attempts.iter().filter(|(_, a)| a.holds()) {
+                let Some(job) = self.jobs.table.get(&key.0) else {
+                    continue;
+                };
+                let from = attempt.running_since.unwrap_or(now);
+                let end = (from + self.expected_run(job)).max(now + Micros::from_secs(2));
+                releases.push((end, job.spec.need));
+            }
+            releases.sort_by_key(|r| r.0);
+        }
+        Some(Bin {
+            type_index,
+            zone: m.zone.clone(),
+            spot: m.spot,
+            releases,
+        })
+    }
+
     /// Settles a rental's answer.
     pub fn hired(&mut self, name: &str, result: HireResult, now: Moment) {
         let Some(at) = self.fleet.hires.iter().position(|h| h.name == name) else {
--- a/src/node.rs
+++ b/src/node.rs
@@ -158,6 +158,8 @@
             list_lag: Micros::from_secs_f64(site.cloud.list_lag_s),
             sample: self.options.sample as usize,
             idle: Micros::from_millis(self.options.idle_ms),
+            patience: Micros::from_millis(self.options.patience_ms),
+            objectives: site.objectives.clone(),
         }
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -410,14 +410,12 @@
             let guarantee = Room::have(self.config.teams[t].cpus, 0.0, 0.0);
             over.insert(t, used.cpu - guarantee.cpu);
         }
-        for place in places.iter_mut() {
-            if left == 0 {
-                return;
-            }
-            let Some(job) = self.jobs.table.get(&id) else {
-                return;
-            };
-            let Some(m) = self.machines.get(&place.name) else {
+        let mut victims = Vec::new();
+        for (at, place) in places.iter_mut().enumerate() {
+            let (Some(job), Some(m)) = (
+                self.jobs.table.get(&id),
+                self.machines.get(&place.name),
+            ) else {
                 continue;
             };
             if !job.spec.allows(&m.type_name, &m.zone, m.spot)
@@ -430,47 +428,47 @@
                 place.promised = place.promised.minus(need);
                 left -= 1;
             }
-            if left == 0 {
-                return;
-            }
-            let mut victims: Vec<(u64, crate::workers::AttemptKey, Room, usize, bool)> = m
-                .attempts
-                .iter()
-                .filter(|(_, a)| a.holds() && a.wanted == Wanted::Run)
-                .filter(|(_, a)| a.status != Some(TaskStatus::Flushing))
-                .filter_map(|(k, a)| {
-                    let v = self.jobs.table.get(&k.0)?;
-                    let v_team = v.team?;
-                    let lower = v.spec.rank < rank;
-                    let borrowed = !priority.beyond_guarantee
-                        && v_team != team
-                        && v.spec.rank <= rank
-                        && over.get(&v_team).is_some_and(|o| *o >= v.spec.need.cpu);
-                    let lost = (now - a.running_since.unwrap_or(now)).0;
-                    (lower || borrowed).then_some((lost, *k, v.spec.need, v_team, lower))
-                })
-                .collect();
-            victims.sort_by_key(|v| v.0);
-            let mut stop = Vec::new();
-            for (_, key, room, v_team, lower) in victims {
-                if left == 0 {
-                    break;
-                }
-                if !lower && over.get(&v_team).is_none_or(|o| *o < room.cpu) {
+            for (key, a) in &m.attempts {
+                if !a.holds()
+                    || a.wanted != Wanted::Run
+                    || a.status == Some(TaskStatus::Flushing)
+                {
                     continue;
                 }
-                over.entry(v_team).and_modify(|o| *o -= room.cpu);
-                place.promised = place.promised.plus(room);
-                stop.push(key);
-                while left > 0 && need.fits(place.promised) {
-                    place.promised = place.promised.minus(need);
-                    left -= 1;
+                let Some(v) = self.jobs.table.get(&key.0) else {
+                    continue;
+                };
+                let Some(v_team) = v.team else { continue };
+                let lower = v.spec.rank < rank;
+                let borrowed = !priority.beyond_guarantee
+                    && v_team != team
+                    && v.spec.rank <= rank
+                    && over.get(&v_team).is_some_and(|o| *o >= v.spec.need.cpu);
+                if lower || borrowed {
+                    // What is lost is the work done so far.
+                    let ran = (now - a.running_since.unwrap_or(now)).0;
+                    let lost = ran.saturating_mul(v.spec.need.cpu as u64);
+                    victims.push((lost, at, *key, v.spec.need, v_team, lower));
                 }
             }
-            let name = place.name.clone();
-            for key in stop {
-                self.stop_attempt(&name, key);
+        }
+        victims.sort_by_key(|v| (v.0, v.1, v.2));
+        for (_, at, key, room, v_team, lower) in victims {
+            if left == 0 {
+                return;
+            }
+            if !lower && over.get(&v_team).is_none_or(|o| *o < room.cpu) {
+                continue;
             }
+            over.entry(v_team).and_modify(|o| *o -= room.cpu);
+            let place = &mut places[at];
+            place.promised = place.promised.plus(room);
+            while left > 0 && need.fits(place.promised) {
+                place.promised = place.promised.minus(need);
+                left -= 1;
+            }
+            let name = place.name.clone();
+            self.stop_attempt(&name, key);
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -45,6 +45,8 @@
     pub zones: Vec<String>,
     pub skew_ms: f64,
     pub teams: Vec<TeamSettings>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
     pub workers: WorkerSettings,
     pub state: StateSettings,
     pub cloud: CloudSettings,
@@ -62,6 +64,16 @@
     pub gpus_max: f64,
 }
 
+/// What the operator aims at, for a class of jobs or for all.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: f64,
+}
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct WorkerSettings {
     pub report_s: f64,
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -287,6 +287,7 @@
         let cache_gb = self.fleet.cache_of(&report.type_name);
         let mut shown = BTreeSet::new();
         let mut ghosts = Vec::new();
+        let mut finished = Vec::new();
         for task in &report.tasks {
             let job_id = task
                 .parts()
@@ -350,6 +351,9 @@
                             self.urgent_rounds = true;
                         }
                         job.failed_on.clear();
+                        if let Some(since) = attempt.running_since {
+                            finished.push((job_id, now - since));
+                        }
                         machine.error_streak.clear();
                     }
                     wire::Cause::Error => {
@@ -370,6 +374,9 @@
             let cached = task.status == TaskStatus::Running || attempt.done;
             machine.note_image(&image, gb, cached, cache_gb, now);
         }
+        for (id, ran) in finished {
+            self.note_run(id, ran);
+        }
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
