--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -92,10 +92,15 @@
 pub struct Priority {
     beyond_guarantee: bool,
     rank: std::cmp::Reverse<Rank>,
-    latest_start: Moment,
+    /// Can't be in time any more: it goes behind those that can.
+    late: bool,
+    press: Moment,
     accepted: Moment,
 }
 
+/// How strongly small jobs go before large ones.
+const SMALL_FIRST: f64 = 5.0;
+
 /// A machine as one pass sees it.
 struct Place {
     name: String,
@@ -169,14 +174,20 @@
             if job.ready() == 0 || job.retry_at > now {
                 continue;
             }
-            let far = Micros::from_secs(3600);
-            let latest_start = job.due_at().unwrap_or(job.accepted_at + far);
-            let latest_start = Moment(latest_start.0.saturating_sub(job.spec.estimate.0));
+            let latest_start = self.latest_start(job);
+            // What the job takes of its team's limit, were it alone: of jobs equally pressed,
+            // small ones go first, since they hold up the others least.
+            let work = f64::from(job.remaining())
+                * self.expected_run(job).as_secs_f64()
+                * job.spec.need.cpu as f64;
+            let alone = work / (settings.cpus_max * 1000.0).max(1.0);
+            let press = latest_start + Micros::from_secs_f64(alone * SMALL_FIRST);
             order.push((
                 Priority {
                     beyond_guarantee: !within,
                     rank: std::cmp::Reverse(job.spec.rank),
-                    latest_start,
+                    late: now > latest_start + Micros::from_secs(5),
+                    press,
                     accepted: job.accepted_at,
                 },
                 *id,
