--- a/src/cli.rs
+++ b/src/cli.rs
@@ -47,6 +47,11 @@
     #[arg(long, env = "ASPENREEL_PATIENCE_MS", default_value_t = 0,
           value_parser = clap::value_parser!(u64).range(0..=86_400_000))]
     pub patience_ms: u64,
+    /// Work that may use spot machines gets an ordinary one only if that saves it this long a
+    /// wait, in milliseconds
+    #[arg(long, env = "ASPENREEL_DEAR_PATIENCE_MS", default_value_t = 120_000,
+          value_parser = clap::value_parser!(u64).range(0..=86_400_000))]
+    pub dear_patience_ms: u64,
     /// The platform's settings file (TOML)
     #[arg(long, value_name = "FILE")]
     pub config: PathBuf,
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -23,6 +23,8 @@
     pub idle: Micros,
     /// A new machine is worth renting if work would wait longer than this.
     pub patience: Micros,
+    /// An ordinary machine is worth renting for work that may use spot ones if it saves this.
+    pub dear_patience: Micros,
     pub objectives: Vec<Objective>,
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -232,7 +232,7 @@
                     continue;
                 }
                 let existing = best.map(|(start, _)| start);
-                let offer = self.choose_offer(job, &offers, existing, latest, now);
+                let offer = self.choose_offer(job, &offers, existing, now);
                 match (offer, best) {
                     (Some(offer), _) => {
                         *wanted.entry(offer.clone()).or_insert(0) += 1;
@@ -255,14 +255,13 @@
         wanted
     }
 
-    /// The cheapest offer that helps: spot machines wherever they start the task sooner,
-    /// ordinary ones only where they make the difference to its deadline, or for want of others.
+    /// The cheapest offer that helps: spot machines wherever they start the task sooner; ordinary
+    /// ones, which cost several times as much, where they save a long wait, or for want of others.
     fn choose_offer(
         &self,
         job: &Job,
         offers: &[(Offer, f64)],
         existing: Option<Moment>,
-        latest: Moment,
         now: Moment,
     ) -> Option<Offer> {
         let need = job.spec.need;
@@ -275,8 +274,8 @@
                     && need.fits(t.room)
                     && self.fleet.no_room.get(o).is_none_or(|t| *t <= now)
                     && existing.is_none_or(|start| {
-                        let sooner = up < start;
-                        sooner && (o.spot || !job.spec.spot || up <= latest)
+                        let long = up + self.config.dear_patience < start;
+                        up < start && (o.spot || !job.spec.spot || long)
                     })
             })
             .min_by(|(a, pa), (b, pb)| {
--- a/src/node.rs
+++ b/src/node.rs
@@ -159,6 +159,7 @@
             sample: self.options.sample as usize,
             idle: Micros::from_millis(self.options.idle_ms),
             patience: Micros::from_millis(self.options.patience_ms),
+            dear_patience: Micros::from_millis(self.options.dear_patience_ms),
             objectives: site.objectives.clone(),
         }
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -98,6 +98,9 @@
     accepted: Moment,
 }
 
+/// Seconds of fetching that a spot machine's place is worth against an ordinary one's.
+const DEAR: f64 = 10.0;
+
 /// How strongly small jobs go before large ones.
 const SMALL_FIRST: f64 = 5.0;
 
@@ -396,7 +399,9 @@
         } else {
             0.0
         };
-        Some(fetch + 3.0 * left + failed)
+        // Dear machines are left to themselves, so that they fall idle and go back.
+        let dear = if m.spot { 0.0 } else { DEAR };
+        Some(fetch + 3.0 * left + dear + failed)
     }
 
     /// Stops lower work, or work that others borrowed, where that makes room for waiting tasks.
