--- a/src/cli.rs
+++ b/src/cli.rs
@@ -52,10 +52,6 @@
     #[arg(long, env = "ASPENREEL_DEAR_PATIENCE_MS", default_value_t = 120_000,
           value_parser = clap::value_parser!(u64).range(0..=86_400_000))]
     pub dear_patience_ms: u64,
-    /// Nothing is stopped in favour of work that has waited less than this, in milliseconds
-    #[arg(long, env = "ASPENREEL_STOP_AFTER_MS", default_value_t = 8000,
-          value_parser = clap::value_parser!(u64).range(0..=86_400_000))]
-    pub stop_after_ms: u64,
     /// The platform's settings file (TOML)
     #[arg(long, value_name = "FILE")]
     pub config: PathBuf,
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -25,8 +25,6 @@
     pub patience: Micros,
     /// An ordinary machine is worth renting for work that may use spot ones if it saves this.
     pub dear_patience: Micros,
-    /// Nothing is stopped for work that has waited less than this.
-    pub stop_after: Micros,
     pub objectives: Vec<Objective>,
 }
 
@@ -47,8 +45,6 @@
     pub rng: fastrand::Rng,
     /// Jobs of earlier terms may be placed: a full lease passed under this term.
     pub released: bool,
-    /// When a pass is due even if nothing changes.
-    pub look_again: Option<Moment>,
     /// Something changed that a placement pass should look at.
     pub dirty: bool,
     /// How long tasks of a class ran, against their owners' estimates.
@@ -75,7 +71,6 @@
             fleet: Fleet::default(),
             rng: fastrand::Rng::with_seed(seed),
             released: false,
-            look_again: None,
             dirty: true,
             estimate_ratio: BTreeMap::new(),
             unseen: BTreeSet::new(),
@@ -325,8 +320,7 @@
     pub fn tick(&mut self, now: Moment) {
         self.expire_leases(now);
         let retry = self.jobs.table.values().any(retry_due(now));
-        let again = self.look_again.is_some_and(|at| at <= now);
-        if self.dirty || retry || again {
+        if self.dirty || retry {
             self.place(now);
         }
     }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -127,9 +127,6 @@
     pub failed_on: BTreeSet<String>,
     pub failures: u32,
     pub retry_at: Moment,
-    /// Since when tasks have been ready without a place.
-    pub waiting_since: Option<Moment>,
-    pub placed_all: bool,
     /// Run times seen of its own tasks: how many, and their sum.
     pub runs: (u32, Micros),
 }
@@ -266,8 +263,6 @@
         failed_on: BTreeSet::new(),
         failures: 0,
         retry_at: Moment(0),
-        waiting_since: None,
-        placed_all: false,
         runs: (0, Micros::ZERO),
         spec,
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -160,7 +160,6 @@
             idle: Micros::from_millis(self.options.idle_ms),
             patience: Micros::from_millis(self.options.patience_ms),
             dear_patience: Micros::from_millis(self.options.dear_patience_ms),
-            stop_after: Micros::from_millis(self.options.stop_after_ms),
             objectives: site.objectives.clone(),
         }
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -101,9 +101,6 @@
 /// Seconds of fetching that a spot machine's place is worth against an ordinary one's.
 const DEAR: f64 = 10.0;
 
-/// How soon waiting work is looked at again if nothing else happens.
-const LOOK_AGAIN: Micros = Micros::from_millis(500);
-
 /// How strongly small jobs go before large ones.
 const SMALL_FIRST: f64 = 5.0;
 
@@ -213,7 +210,6 @@
     /// One pass: binds waiting tasks to machines and marks what must make room.
     pub fn place(&mut self, now: Moment) {
         self.dirty = false;
-        self.look_again = None;
         let order = self.order(now);
         if order.is_empty() {
             return;
@@ -258,12 +254,6 @@
         let (need, ready) = (job.spec.need, job.ready());
         let mut zones = self.zones_of(id);
         let mut waiting = 0u32;
-        if let Some(job) = self.jobs.table.get_mut(&id)
-            && job.placed_all
-        {
-            job.placed_all = false;
-            job.waiting_since = None;
-        }
         for _ in 0..ready {
             if !need.fits(team_room[team]) {
                 return;
@@ -311,20 +301,7 @@
             place.promised = place.promised.minus(need);
             team_room[team] = team_room[team].minus(need);
         }
-        if waiting == 0 {
-            if let Some(job) = self.jobs.table.get_mut(&id) {
-                job.placed_all = true;
-            }
-            return;
-        }
-        // Tasks end all the time, and what they leave goes to the most urgent first: only work
-        // that has waited a while in vain is worth stopping others for.
-        let Some(job) = self.jobs.table.get_mut(&id) else {
-            return;
-        };
-        let since = *job.waiting_since.get_or_insert(now);
-        self.look_again = Some(now + LOOK_AGAIN);
-        if now - since >= self.config.stop_after {
+        if waiting > 0 {
             let left = self.jobs.table.get(&id).map_or(0, |j| j.ready());
             self.make_room(priority, id, left, places, team_room[team], now);
         }
