Free what gone machines held: two lists without them prove it; hint the silent zone

Cause: after a spot wave or a cut, a new leader waited a full lease for machines that no longer existed, and the wrong zone took the lead.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -51,6 +51,8 @@
     pub estimate_ratio: BTreeMap<String, f64>,
     /// Machines on record that may hold tasks of earlier terms, not counted in yet.
     pub unseen: BTreeSet<String>,
+    /// When machines of earlier terms were on record, at the latest.
+    pub recorded_at: BTreeMap<String, Moment>,
     /// Recorded machines that are gone: their records may go too.
     pub unrecord: BTreeSet<String>,
     /// Machines with orders that go straight to them.
@@ -74,6 +76,7 @@
             dirty: true,
             estimate_ratio: BTreeMap::new(),
             unseen: BTreeSet::new(),
+            recorded_at: BTreeMap::new(),
             unrecord: BTreeSet::new(),
             poked: BTreeSet::new(),
             urgent_rounds: false,
@@ -316,6 +319,25 @@
         latest.unwrap_or(job.accepted_at)
     }
 
+    /// The zone of most machines that are silent.
+    pub fn silent_zone(&self, now: Moment) -> Option<String> {
+        let patience = self.config.report.scaled(1.5);
+        let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+        for m in self.machines.values() {
+            if m.last_report.is_none_or(|t| now - t > patience) {
+                *zones.entry(&m.zone).or_insert(0) += 1;
+            }
+        }
+        let most = zones.into_iter().max_by_key(|(_, n)| *n)?;
+        Some(most.0.to_string())
+    }
+
+    /// A machine that was on record at `since`, at the latest, when this term began.
+    pub fn note_unseen(&mut self, name: &str, since: Moment) {
+        self.unseen.insert(name.to_string());
+        self.recorded_at.insert(name.to_string(), since);
+    }
+
     /// What time alone changes.
     pub fn tick(&mut self, now: Moment) {
         self.expire_leases(now);
--- a/src/fleet/edge.rs
+++ b/src/fleet/edge.rs
@@ -127,6 +127,7 @@
     }
 
     fn list_machines(&self) {
+        let asked = self.now();
         let mut list = Vec::new();
         let mut since = String::new();
         loop {
@@ -155,7 +156,8 @@
         }
         let now = self.now();
         if let Some((_, cluster)) = self.core().acting(now) {
-            cluster.listed(&list, now);
+            cluster.listed(&list, asked, now);
+            self.wake(cluster);
         }
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -101,6 +101,8 @@
     no_room: HashMap<Offer, Moment>,
     /// Names of machines that are gone for good; late reports and lists still name them.
     gone: VecDeque<String>,
+    /// Missing from the last list, though old enough to be in it.
+    unlisted: std::collections::BTreeSet<String>,
     /// A list was read under this term: before, nobody knows what is rented already.
     pub listed: bool,
     pub last_list: Option<Moment>,
@@ -352,14 +354,15 @@
                     );
                     m.list_status = Some(ListStatus::Starting);
                     m.last_listed = Some(now);
+                    m.exists_since = Some(now);
                     self.machines.insert(machine, m);
                 }
             }
         }
     }
 
-    /// Takes in a whole machine list.
-    pub fn listed(&mut self, list: &[ListedMachine], now: Moment) {
+    /// Takes in a whole machine list that was asked for at `asked`.
+    pub fn listed(&mut self, list: &[ListedMachine], asked: Moment, now: Moment) {
         self.fleet.listed = true;
         self.fleet.last_list = Some(now);
         for l in list {
@@ -379,6 +382,7 @@
                 );
                 m.lease_from = started;
                 m.recorded = unseen.contains(&l.name);
+                m.exists_since = Some(now);
                 m.known_since = Moment(now.0.saturating_sub((l.held_s.0 * 1e6) as u64));
                 m
             });
@@ -392,7 +396,50 @@
                 self.end_session(&l.name);
             }
         }
+        self.note_unlisted(list, asked);
         self.forget_vanished(now);
+        self.release_if_all_seen(now);
+    }
+
+    /// Machines that a list should name and doesn't are gone, and what was on them too.
+    ///
+    /// Once listed, a machine stays listed until it is gone, and a list is never older than twice
+    /// its lag. So a machine that existed that long (and a margin) before the list was asked for,
+    /// and is not in it, no longer exists. Two lists in a row must agree.
+    fn note_unlisted(&mut self, list: &[ListedMachine], asked: Moment) {
+        let oldest = self.config.list_lag.scaled(2.0) + Micros::from_secs(3);
+        let named: std::collections::HashSet<&str> =
+            list.iter().map(|l| l.name.as_str()).collect();
+        let mut gone = Vec::new();
+        let names: Vec<String> = self
+            .machines
+            .keys()
+            .chain(self.unseen.iter())
+            .filter(|n| !named.contains(n.as_str()))
+            .cloned()
+            .collect();
+        for name in &names {
+            let existed = match self.machines.get(name) {
+                Some(m) => m.exists_since,
+                None => self.recorded_at.get(name).copied(),
+            };
+            if existed.is_some_and(|t| t + oldest < asked) {
+                if self.fleet.unlisted.contains(name) {
+                    gone.push(name.clone());
+                } else {
+                    self.fleet.unlisted.insert(name.clone());
+                }
+            }
+        }
+        self.fleet.unlisted.retain(|n| !named.contains(n.as_str()));
+        for name in &gone {
+            log::info!("machine {name}: gone from the list");
+            self.fleet.unlisted.remove(name);
+            if self.unseen.remove(name) && !self.machines.contains_key(name) {
+                self.unrecord.insert(name.clone());
+            }
+        }
+        self.returned(&gone);
     }
 
     /// Machines whose lease is over and that lists stopped naming long ago are gone.
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -64,9 +64,9 @@
                 (writes, guard, added, deleted)
             };
             if !added.is_empty() || !deleted.is_empty() {
-                let write = |n: &String| {
-                    Change::write(format!("{FLEET_PREFIX}{n}"), Value::Bool(true))
-                };
+                let at = Value::from(self.clock.wall().0);
+                let write =
+                    |n: &String| Change::write(format!("{FLEET_PREFIX}{n}"), at.clone());
                 let delete = |n: &String| Change::delete(format!("{FLEET_PREFIX}{n}"));
                 let changes: Vec<Change> = added
                     .iter()
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -6,11 +6,13 @@
 use crate::jobs::DoneRecord;
 use crate::jobs::spec::Submission;
 use crate::node::Node;
-use crate::state_store::{StoreError, Urgency, from_value};
+use crate::state_store::{Change, StoreError, Urgency, from_value, to_value};
 use crate::time::{Micros, Moment};
 use std::time::Duration;
 
 const PAGE: usize = 100;
+/// The zone whose workers the last leader lost: a node there goes first.
+const HINT_KEY: &str = "hint";
 
 fn pause(low_ms: u64, high_ms: u64) {
     std::thread::sleep(Duration::from_millis(fastrand::u64(low_ms..=high_ms)));
@@ -66,7 +68,13 @@
             pause(1500, 2500);
             return matches!(self.store.get(LEADER_KEY, Urgency::Lead), Ok(None));
         }
-        let wait = 500 / (1 + knocks);
+        let mut wait = 500 / (1 + knocks);
+        if knocks == 0
+            && let Ok(Some(row)) = self.store.get(HINT_KEY, Urgency::Lead)
+            && from_value::<String>(&row.data).as_ref() == Some(&self.settings.location)
+        {
+            wait = 50;
+        }
         pause(wait, wait + 60);
         true
     }
@@ -132,6 +140,18 @@
             self.changed.notify_all();
             self.keep(permit, &mut renewed);
         }
+        let silent_zone = {
+            let core = self.core();
+            let mut zone = None;
+            if core.step_down && core.abstain_until > self.now() {
+                zone = core.cluster.as_ref().and_then(|c| c.silent_zone(self.now()));
+            }
+            zone
+        };
+        if let Some(zone) = silent_zone {
+            let change = Change::write(HINT_KEY, to_value(&zone));
+            let _ = self.store.multi(&[lead.guard()], &[change], Urgency::Lead);
+        }
         {
             let mut core = self.core();
             core.lead = None;
@@ -141,7 +161,13 @@
         }
         self.changed.notify_all();
         log::info!("term {} is over", lead.term);
-        let _ = self.store.end_hold(permit);
+        // Nobody can lead before the hold has ended, so ending it is worth a few tries.
+        for _ in 0..5 {
+            if self.store.end_hold(permit).is_ok() {
+                break;
+            }
+            pause(50, 100);
+        }
         pause(300, 600);
     }
 
@@ -195,6 +221,7 @@
         if let Some(catalog) = self.catalog() {
             cluster.fleet.catalog = catalog.to_vec();
         }
+        let skew = Micros::from_secs_f64(self.settings.settings.skew_ms / 500.0);
         let mut jobs_epoch = None;
         for prefix in ["jobs/", "done/", FLEET_PREFIX] {
             let mut since: Option<String> = None;
@@ -225,7 +252,10 @@
                         };
                         cluster.add_job(&s, row.stamp, row.stamp <= lead.stamp, now, wall);
                     } else if prefix == FLEET_PREFIX {
-                        cluster.unseen.insert(rest.to_string());
+                        // Recorded before now at the latest; older records say when.
+                        let at = from_value::<u64>(&row.data).unwrap_or(wall.0);
+                        let age = Micros(wall.0.saturating_sub(at)).saturating_sub(skew);
+                        cluster.note_unseen(rest, Moment(now.0.saturating_sub(age.0)));
                     } else if let Some((id, chunk)) = rest.split_once('/')
                         && let Ok(chunk) = chunk.parse()
                     {
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -106,6 +106,8 @@
     pub idle_since: Option<Moment>,
     pub list_status: Option<crate::fleet::ListStatus>,
     pub last_listed: Option<Moment>,
+    /// It existed at this moment, at the latest.
+    pub exists_since: Option<Moment>,
     /// A direct call to it is under way.
     pub calling: bool,
 }
@@ -166,6 +168,7 @@
             idle_since: None,
             list_status: None,
             last_listed: None,
+            exists_since: None,
             calling: false,
         }
     }
@@ -228,6 +231,8 @@
             );
             machine.lease_from = self.started;
             machine.recorded = self.unseen.contains(&report.machine);
+            // A report may be late, and its machine gone: only a list or a rental proves more.
+            machine.exists_since = self.recorded_at.get(&report.machine).copied();
             self.machines.insert(report.machine.clone(), machine);
         }
         let Some(machine) = self.machines.get_mut(&report.machine) else {
