--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -59,12 +59,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Shape {
-    /// Independent tasks.
     Array,
-    /// Tasks that run only together: all of them start, or none.
-    Gang,
-    /// Tasks that run until the job is withdrawn.
-    Standing,
 }
 
 /// Why a submission is refused for good.
@@ -89,7 +84,6 @@
     pub class: String,
     pub team: String,
     pub rank: Rank,
-    pub shape: Shape,
     pub tasks: u32,
     /// What one task takes of its machine.
     pub need: Room,
@@ -154,7 +148,6 @@
             class: self.lane.clone(),
             team: self.crew.clone(),
             rank: self.rank,
-            shape: self.shape,
             tasks: self.pieces.min(MAX_TASKS) as u32,
             need: Room::need(self.cpus.0, self.gpus.0, self.ram_gb.0),
             image: self.bundle.clone(),
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,7 +1,7 @@
 //! Placement: which waiting task goes where, and what may be stopped for it.
 
 use crate::cluster::Cluster;
-use crate::jobs::spec::{JobSpec, Rank, Shape};
+use crate::jobs::spec::{JobSpec, Rank};
 use crate::jobs::{Job, JobId};
 use crate::time::{Micros, Moment};
 use crate::workers::wire::TaskStatus;
@@ -252,14 +252,8 @@
         };
         let Some(team) = job.team else { return };
         let (need, ready) = (job.spec.need, job.ready());
-        let gang = job.spec.shape == Shape::Gang;
-        if gang && (!job.bound.is_empty() || !need.by(i64::from(ready)).fits(team_room[team])) {
-            // What is left of a broken gang must be gone before it starts anew.
-            return;
-        }
         let mut zones = self.zones_of(id);
         let mut waiting = 0u32;
-        let mut placed = Vec::new();
         for _ in 0..ready {
             if !need.fits(team_room[team]) {
                 return;
@@ -306,23 +300,6 @@
             place.free = place.free.minus(need);
             place.promised = place.promised.minus(need);
             team_room[team] = team_room[team].minus(need);
-            if gang {
-                placed.push((at, (id, task, number)));
-            }
-        }
-        if waiting > 0 && gang {
-            // Not every task has a place: none starts.
-            for (at, key) in placed {
-                places[at].free = places[at].free.plus(need);
-                places[at].promised = places[at].promised.plus(need);
-                team_room[team] = team_room[team].plus(need);
-                if let Some(m) = self.machines.get_mut(&places[at].name) {
-                    m.attempts.remove(&key);
-                }
-                if let Some(job) = self.jobs.table.get_mut(&id) {
-                    job.unbind(key.1);
-                }
-            }
         }
         if waiting > 0 {
             let left = self.jobs.table.get(&id).map_or(0, |j| j.ready());
