--- a/src/cli.rs
+++ b/src/cli.rs
@@ -52,6 +52,10 @@
     #[arg(long, env = "ASPENREEL_DEAR_PATIENCE_MS", default_value_t = 120_000,
           value_parser = clap::value_parser!(u64).range(0..=86_400_000))]
     pub dear_patience_ms: u64,
+    /// Room kept ready where objectives tell of waiting times, in percent of the CPUs in use
+    #[arg(long, env = "ASPENREEL_RESERVE", default_value_t = 20,
+          value_parser = clap::value_parser!(u64).range(0..=1000))]
+    pub reserve: u64,
     /// The platform's settings file (TOML)
     #[arg(long, value_name = "FILE")]
     pub config: PathBuf,
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -25,6 +25,8 @@
     pub patience: Micros,
     /// An ordinary machine is worth renting for work that may use spot ones if it saves this.
     pub dear_patience: Micros,
+    /// Share of the CPUs in use that is kept ready where objectives tell of waiting times.
+    pub reserve: f64,
     pub objectives: Vec<Objective>,
 }
 
@@ -144,6 +146,13 @@
             return;
         }
         job.outcome = Some(outcome);
+        log::debug!(
+            "{} of {}: {outcome:?}, {} tasks, first all placed {:?} s after acceptance",
+            job.spec.id,
+            job.spec.class,
+            job.spec.tasks,
+            job.placed_at.map(|t| (t - job.accepted_at).as_secs_f64())
+        );
         let mut running = Vec::new();
         for m in self.machines.values() {
             for key in m
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -168,7 +168,12 @@
         if !self.fleet.listed || !self.fleet.hires.is_empty() {
             return;
         }
-        let wanted = self.wanted_offers(now);
+        let mut wanted = self.wanted_offers(now);
+        if wanted.is_empty()
+            && let Some(offer) = self.reserve_offer(now)
+        {
+            wanted.insert(offer, 1);
+        }
         for (offer, count) in wanted {
             let mut left = count;
             while left > 0 {
@@ -257,6 +262,51 @@
         wanted
     }
 
+    /// CPUs free or on their way beyond the reserve that is wanted; negative if it falls short.
+    ///
+    /// Whoever aims at starting work within a time can't wait for a boot: some room is kept
+    /// ready, as a share of what is in use. Where only deadlines count, none is.
+    fn spare_cpu(&self) -> i64 {
+        let aims_at_waits = self.config.objectives.iter().any(|o| o.kind == "wait");
+        if !aims_at_waits {
+            return i64::MAX;
+        }
+        let (mut free, mut total) = (0, 0);
+        for m in self.machines.values() {
+            if m.returning || m.faulty || m.recalled || m.lost {
+                continue;
+            }
+            let room = self.fleet.room_of(&m.type_name);
+            total += room.cpu;
+            free += if m.last_report.is_none() {
+                room.cpu
+            } else {
+                self.free_room(m).cpu
+            };
+        }
+        let used = (total - free) as f64;
+        free - (used * self.config.reserve) as i64
+    }
+
+    /// The cheapest spot machine, when the reserve falls short.
+    fn reserve_offer(&self, now: Moment) -> Option<Offer> {
+        if self.spare_cpu() >= 0 {
+            return None;
+        }
+        self.fleet
+            .offers()
+            .into_iter()
+            .filter(|(o, _)| o.spot)
+            .filter(|(o, _)| self.fleet.no_room.get(o).is_none_or(|t| *t <= now))
+            .min_by(|(a, pa), (b, pb)| {
+                let cost = |o: &Offer, price: f64| {
+                    price / self.fleet.catalog[o.type_index].room.cpu.max(1) as f64
+                };
+                cost(a, *pa).total_cmp(&cost(b, *pb))
+            })
+            .map(|(offer, _)| offer)
+    }
+
     /// The cheapest offer that helps: spot machines wherever they start the task sooner; ordinary
     /// ones, which cost several times as much, where they save a long wait, or for want of others.
     fn choose_offer(
@@ -271,7 +321,8 @@
             .iter()
             .filter(|(o, _)| {
                 let t = &self.fleet.catalog[o.type_index];
-                let up = now + t.boot;
+                // A machine that is late to boot is still likely to be up before a new one.
+                let up = now + t.boot.scaled(1.2) + Micros::from_secs(3);
                 job.spec.allows(&t.name, &o.zone, o.spot)
                     && need.fits(t.room)
                     && self.fleet.no_room.get(o).is_none_or(|t| *t <= now)
@@ -507,11 +558,17 @@
             .iter()
             .map(|t| (t.name.clone(), t.boot))
             .collect();
+        let mut spare = self.spare_cpu();
         for m in self.machines.values_mut() {
             if m.returning {
                 continue;
             }
-            let idle = m.idle_since.is_some_and(|t| now - t > idle_time) && !m.busy();
+            let mut idle = m.idle_since.is_some_and(|t| now - t > idle_time) && !m.busy();
+            if idle && spare < m.total.cpu {
+                idle = false;
+            } else if idle {
+                spare -= m.total.cpu;
+            }
             let boot = boots.get(&m.type_name).copied().unwrap_or(idle_time);
             // A new leader hears from machines one by one: whoever was not heard from since it
             // took over is not thereby one that never came up.
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -127,6 +127,8 @@
     pub failed_on: BTreeSet<String>,
     pub failures: u32,
     pub retry_at: Moment,
+    /// When no task was left without a place for the first time.
+    pub placed_at: Option<Moment>,
     /// Run times seen of its own tasks: how many, and their sum.
     pub runs: (u32, Micros),
 }
@@ -263,6 +265,7 @@
         failed_on: BTreeSet::new(),
         failures: 0,
         retry_at: Moment(0),
+        placed_at: None,
         runs: (0, Micros::ZERO),
         spec,
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -160,6 +160,7 @@
             idle: Micros::from_millis(self.options.idle_ms),
             patience: Micros::from_millis(self.options.patience_ms),
             dear_patience: Micros::from_millis(self.options.dear_patience_ms),
+            reserve: self.options.reserve as f64 / 100.0,
             objectives: site.objectives.clone(),
         }
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -301,6 +301,11 @@
             place.promised = place.promised.minus(need);
             team_room[team] = team_room[team].minus(need);
         }
+        if let Some(job) = self.jobs.table.get_mut(&id)
+            && job.ready() == 0
+        {
+            job.placed_at.get_or_insert(now);
+        }
         if waiting > 0 {
             let left = self.jobs.table.get(&id).map_or(0, |j| j.ready());
             self.make_room(priority, id, left, places, team_room[team], now);
--- a/tests/common/trace.rs
+++ b/tests/common/trace.rs
@@ -105,6 +105,7 @@
             idle: Micros::from_secs(30),
             patience: Micros::ZERO,
             dear_patience: Micros::from_secs(120),
+            reserve: 0.0,
             objectives: Vec::new(),
         };
         let mut cluster = Cluster::new(config, term, at(0.0), 7);
