--- a/src/cli.rs
+++ b/src/cli.rs
@@ -39,14 +39,9 @@
           value_parser = clap::value_parser!(u64).range(1000..=60_000))]
     pub hold_ms: u64,
     /// A machine without work is returned after this long, in milliseconds
-    #[arg(long, env = "ASPENREEL_IDLE_MS", default_value_t = 30_000,
+    #[arg(long, env = "ASPENREEL_IDLE_MS", default_value_t = 20_000,
           value_parser = clap::value_parser!(u64).range(1000..=86_400_000))]
     pub idle_ms: u64,
-    /// Work that would wait longer than this for a place asks for a new spot machine, in
-    /// milliseconds
-    #[arg(long, env = "ASPENREEL_PATIENCE_MS", default_value_t = 0,
-          value_parser = clap::value_parser!(u64).range(0..=86_400_000))]
-    pub patience_ms: u64,
     /// Work that may use spot machines gets an ordinary one only if that saves it this long a
     /// wait, in milliseconds
     #[arg(long, env = "ASPENREEL_DEAR_PATIENCE_MS", default_value_t = 120_000,
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -21,8 +21,6 @@
     pub list_lag: Micros,
     pub sample: usize,
     pub idle: Micros,
-    /// A new machine is worth renting if work would wait longer than this.
-    pub patience: Micros,
     /// An ordinary machine is worth renting for work that may use spot ones if it saves this.
     pub dear_patience: Micros,
     /// Share of the CPUs in use that is kept ready where objectives tell of waiting times.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -217,7 +217,6 @@
             let need = job.spec.need;
             let run = self.expected_run(job);
             let latest = self.latest_start(job);
-            let soon = now + self.config.patience;
             for _ in 0..job.ready().min(MAX_PLANNED) {
                 if !need.fits(team_room[team]) {
                     break;
@@ -233,7 +232,7 @@
                     .filter_map(|(i, b)| Some((b.earliest(need)?.max(now), i)))
                     .min();
                 if let Some((start, i)) = best
-                    && start <= latest.min(soon)
+                    && start <= latest
                 {
                     bins[i].take(start, need, run);
                     continue;
@@ -550,7 +549,9 @@
 
     /// Chooses machines to return, and names those whose return is due now.
     pub fn plan_returns(&mut self, now: Moment) -> Vec<String> {
-        let idle_time = self.config.idle;
+        // Ordinary machines cost several times as much, so they go back sooner.
+        let (spot_idle, dear_idle) = (self.config.idle, self.config.idle.scaled(0.25));
+        let idle_time_of = |spot| if spot { spot_idle } else { dear_idle };
         let lease = self.lease_span();
         let boots: HashMap<String, Micros> = self
             .fleet
@@ -563,13 +564,13 @@
             if m.returning {
                 continue;
             }
-            let mut idle = m.idle_since.is_some_and(|t| now - t > idle_time) && !m.busy();
+            let mut idle = m.idle_since.is_some_and(|t| now - t > idle_time_of(m.spot)) && !m.busy();
             if idle && spare < m.total.cpu {
                 idle = false;
             } else if idle {
                 spare -= m.total.cpu;
             }
-            let boot = boots.get(&m.type_name).copied().unwrap_or(idle_time);
+            let boot = boots.get(&m.type_name).copied().unwrap_or(spot_idle);
             // A new leader hears from machines one by one: whoever was not heard from since it
             // took over is not thereby one that never came up.
             let never_up = m.last_report.is_none()
--- a/src/node.rs
+++ b/src/node.rs
@@ -158,7 +158,6 @@
             list_lag: Micros::from_secs_f64(site.cloud.list_lag_s),
             sample: self.options.sample as usize,
             idle: Micros::from_millis(self.options.idle_ms),
-            patience: Micros::from_millis(self.options.patience_ms),
             dear_patience: Micros::from_millis(self.options.dear_patience_ms),
             reserve: self.options.reserve as f64 / 100.0,
             objectives: site.objectives.clone(),
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -504,6 +504,11 @@
             .and_then(|m| m.attempts.get_mut(&key))
         {
             a.wanted = Wanted::Stop { leeway };
+            log::debug!(
+                "stopping {}/{} on {machine} to make room",
+                job.spec.id,
+                key.1
+            );
             self.poked.insert(machine.to_string());
         }
     }
--- a/tests/common/trace.rs
+++ b/tests/common/trace.rs
@@ -103,7 +103,6 @@
             list_lag: Micros::from_secs(5),
             sample: 3,
             idle: Micros::from_secs(30),
-            patience: Micros::ZERO,
             dear_patience: Micros::from_secs(120),
             reserve: 0.0,
             objectives: Vec::new(),
