--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -88,10 +88,13 @@
 }
 
 /// Sorts waiting jobs: smaller goes first.
+///
+/// What may be stopped for a job always comes later in this order. Otherwise it would take its
+/// place again at once, and be stopped again, without end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Priority {
-    beyond_guarantee: bool,
     rank: std::cmp::Reverse<Rank>,
+    beyond_guarantee: bool,
     /// Can't be in time any more: it goes behind those that can.
     late: bool,
     press: Moment,
