--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -580,7 +580,8 @@
             let mute = m.last_report.is_none()
                 && now - self.started.max(m.known_since) > lease.scaled(2.0) + boot.scaled(4.0);
             let silent = m.lost && m.last_report.is_some_and(|t| now - t > lease.scaled(1.5));
-            let faulty = m.faulty && !m.busy();
+            // A recalled machine is charged to the end, and only its return proves it empty.
+            let faulty = (m.faulty || m.recalled) && !m.busy();
             if (idle && m.counted_in) || never_up || mute || silent || faulty {
                 log::info!(
                     "machine {}: to be returned (idle {idle}, never up {never_up}, silent {silent}, faulty {faulty})",
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -508,7 +508,7 @@
         {
             a.wanted = Wanted::Stop { leeway };
             log::debug!(
-                "stopping {}/{} on {machine} to make room",
+                "stopping {}/{} on {machine}",
                 job.spec.id,
                 key.1
             );
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -95,6 +95,8 @@
     pub lease_from: Moment,
     pub last_report: Option<Moment>,
     pub recalled: bool,
+    /// When the cloud takes it away, as last told.
+    pub recall_at: Option<Moment>,
     pub attempts: BTreeMap<AttemptKey, Attempt>,
     pub ghosts: Vec<Ghost>,
     pub images: BTreeMap<String, Image>,
@@ -158,6 +160,7 @@
             lease_from: now,
             last_report: None,
             recalled: false,
+            recall_at: None,
             attempts: BTreeMap::new(),
             ghosts: Vec::new(),
             images: BTreeMap::new(),
@@ -280,11 +283,41 @@
         machine.spot = report.spot;
         machine.total = self.fleet.room_of(&report.type_name);
         machine.recalled = report.recall.is_some();
+        machine.recall_at = report.recall.map(|s| now + Micros::from_secs_f64(s.0));
         if !machine.counted_in && report.token == self.term {
             machine.counted_in = true;
             self.dirty = true;
         }
         self.apply_tasks(report, checked_in, now);
+        self.drain_recalled(&report.machine, now);
+    }
+
+    /// Stops what can't finish before the cloud takes the machine: elsewhere it can start at
+    /// once, instead of when the loss of the machine is certain.
+    fn drain_recalled(&mut self, name: &str, now: Moment) {
+        let Some(machine) = self.machines.get(name) else {
+            return;
+        };
+        let Some(recall_at) = machine.recall_at else {
+            return;
+        };
+        let doomed: Vec<AttemptKey> = machine
+            .attempts
+            .iter()
+            .filter(|(_, a)| a.holds() && a.wanted == Wanted::Run)
+            .filter(|(k, a)| {
+                let run = self
+                    .jobs
+                    .table
+                    .get(&k.0)
+                    .map_or(Micros::ZERO, |j| self.expected_run(j));
+                a.running_since.unwrap_or(now) + run > recall_at
+            })
+            .map(|(k, _)| *k)
+            .collect();
+        for key in doomed {
+            self.stop_attempt(name, key);
+        }
     }
 
     fn apply_tasks(&mut self, report: &Report, checked_in: bool, now: Moment) {
