--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -105,7 +105,7 @@
 const DEAR: f64 = 10.0;
 
 /// How strongly small jobs go before large ones.
-const SMALL_FIRST: f64 = 5.0;
+const SMALL_FIRST: f64 = 10.0;
 
 /// A machine as one pass sees it.
 struct Place {
