--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -564,7 +564,8 @@
             if m.returning {
                 continue;
             }
-            let mut idle = m.idle_since.is_some_and(|t| now - t > idle_time_of(m.spot)) && !m.busy();
+            let mut idle =
+                m.idle_since.is_some_and(|t| now - t > idle_time_of(m.spot)) && !m.busy();
             if idle && spare < m.total.cpu {
                 idle = false;
             } else if idle {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -507,11 +507,7 @@
             .and_then(|m| m.attempts.get_mut(&key))
         {
             a.wanted = Wanted::Stop { leeway };
-            log::debug!(
-                "stopping {}/{} on {machine}",
-                job.spec.id,
-                key.1
-            );
+            log::debug!("stopping {}/{} on {machine}", job.spec.id, key.1);
             self.poked.insert(machine.to_string());
         }
     }
