--- a/src/cli.rs
+++ b/src/cli.rs
@@ -48,7 +48,7 @@
           value_parser = clap::value_parser!(u64).range(0..=86_400_000))]
     pub dear_patience_ms: u64,
     /// Room kept ready where objectives tell of waiting times, in percent of the CPUs in use
-    #[arg(long, env = "ASPENREEL_RESERVE", default_value_t = 20,
+    #[arg(long, env = "ASPENREEL_RESERVE", default_value_t = 50,
           value_parser = clap::value_parser!(u64).range(0..=1000))]
     pub reserve: u64,
     /// The platform's settings file (TOML)
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -208,6 +208,7 @@
             .filter_map(|m| self.bin_of(m, now))
             .collect();
         let offers = self.fleet.offers();
+        let eager = self.aims_at_waits();
         let mut team_room = self.team_room();
         for (_, id) in order {
             let Some(job) = self.jobs.table.get(&id) else {
@@ -216,7 +217,8 @@
             let Some(team) = job.team else { continue };
             let need = job.spec.need;
             let run = self.expected_run(job);
-            let latest = self.latest_start(job);
+            // Whoever aims at starting times wants every start as soon as a machine can be had.
+            let latest = if eager { now } else { self.latest_start(job) };
             for _ in 0..job.ready().min(MAX_PLANNED) {
                 if !need.fits(team_room[team]) {
                     break;
@@ -261,13 +263,16 @@
         wanted
     }
 
+    fn aims_at_waits(&self) -> bool {
+        self.config.objectives.iter().any(|o| o.kind == "wait")
+    }
+
     /// CPUs free or on their way beyond the reserve that is wanted; negative if it falls short.
     ///
     /// Whoever aims at starting work within a time can't wait for a boot: some room is kept
     /// ready, as a share of what is in use. Where only deadlines count, none is.
     fn spare_cpu(&self) -> i64 {
-        let aims_at_waits = self.config.objectives.iter().any(|o| o.kind == "wait");
-        if !aims_at_waits {
+        if !self.aims_at_waits() {
             return i64::MAX;
         }
         let (mut free, mut total) = (0, 0);
