--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -20,6 +20,14 @@
     Undecided,
 }
 
+/// What became of writing a submission.
+enum Accepted {
+    New,
+    Known(JobView),
+    /// Not written, as far as this node knows.
+    Refused,
+}
+
 #[derive(Serialize)]
 struct Answer<'a> {
     #[serde(rename = "ref")]
@@ -103,8 +111,60 @@
         }
     }
 
-    /// Records the job; it is accepted once that is answered.
-    fn accept(&self, mut submission: Submission) -> Response {
+    /// Records the job; it is accepted once that is answered. Where this node can't write, for
+    /// want of tokens or because the state service refuses it alone, another one may.
+    fn accept(&self, submission: Submission) -> Response {
+        let id = submission.id.clone();
+        match self.record(submission.clone()) {
+            Accepted::New => short(201, &id, ViewState::Queued),
+            Accepted::Known(view) => short(200, &id, view.state),
+            Accepted::Refused => {
+                let request = PeerRequest::Accept {
+                    body: encode(&submission),
+                };
+                match self.ask_any(&request) {
+                    Some(PeerReply::Job(view)) => short(201, &id, view.state),
+                    _ => Response::busy(RETRY_S),
+                }
+            }
+        }
+    }
+
+    /// A peer asks this node to accept a submission that it has checked.
+    pub fn accept_for_peer(&self, body: &[u8]) -> PeerReply {
+        let Ok(submission) = Submission::decode(body) else {
+            return PeerReply::Busy;
+        };
+        match self.record(submission) {
+            Accepted::New => PeerReply::Job(JobView {
+                state: ViewState::Queued,
+                done: 0,
+                running: 0,
+            }),
+            Accepted::Known(view) => PeerReply::Job(view),
+            Accepted::Refused => PeerReply::Busy,
+        }
+    }
+
+    /// A peer that the state service refuses asks this node to read.
+    pub fn read_for_peer(&self, id: &str) -> PeerReply {
+        match self.read_job(id) {
+            Ok(Some(view)) => PeerReply::Job(view),
+            Ok(None) => PeerReply::Absent,
+            Err(_) => PeerReply::Busy,
+        }
+    }
+
+    /// Asks the other nodes in turn until one can tell.
+    fn ask_any(&self, request: &PeerRequest) -> Option<PeerReply> {
+        self.peers
+            .values()
+            .filter_map(|peer| peer.call(request, PEER_TIME).ok())
+            .find(|reply| matches!(reply, PeerReply::Job(_) | PeerReply::Absent))
+    }
+
+    /// Writes the job's record.
+    fn record(&self, mut submission: Submission) -> Accepted {
         let now = self.now();
         let granted = self
             .submit_tokens
@@ -112,7 +172,7 @@
             .unwrap_or_else(|e| e.into_inner())
             .take(1.0, now);
         if !granted {
-            return Response::busy(RETRY_S);
+            return Accepted::Refused;
         }
         let id = submission.id.clone();
         let wall = self.clock.wall();
@@ -131,15 +191,15 @@
                     cluster.place(now);
                     self.wake(cluster);
                 }
-                short(201, &id, ViewState::Queued)
+                Accepted::New
             }
             Ok(Commit::Conflict { .. }) => match self.lookup(&id) {
-                Lookup::Job(view) => short(200, &id, view.state),
-                _ => Response::busy(RETRY_S),
+                Lookup::Job(view) => Accepted::Known(view),
+                _ => Accepted::Refused,
             },
             Err(e) => {
                 log::debug!("{id} not accepted: {e}");
-                Response::busy(RETRY_S)
+                Accepted::Refused
             }
         }
     }
@@ -263,8 +323,16 @@
             }
             Ok(None) => Lookup::Absent,
             Err(e) => {
-                log::debug!("{id} can't be looked up: {e}");
-                Lookup::Undecided
+                log::debug!("{id} can't be looked up here: {e}");
+                let request = PeerRequest::Read { id: id.to_string() };
+                match self.ask_any(&request) {
+                    Some(PeerReply::Job(view)) => {
+                        self.core().finals.note(id, view);
+                        Lookup::Job(view)
+                    }
+                    Some(PeerReply::Absent) => Lookup::Absent,
+                    _ => Lookup::Undecided,
+                }
             }
         }
     }
--- a/src/leadership/peer.rs
+++ b/src/leadership/peer.rs
@@ -17,6 +17,10 @@
     Status { id: String },
     /// Cancel a job, and say how it ended.
     Withdraw { id: String },
+    /// What the state service says of a job, asked by a node that it refuses.
+    Read { id: String },
+    /// Accept a checked submission (its CBOR), for a node that can't write it.
+    Accept { body: Vec<u8> },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -25,6 +29,8 @@
     /// The leader holds no such job: it is over, new, or was never accepted.
     Unknown,
     NotLeading,
+    /// The state service holds no such job.
+    Absent,
     /// It can't be decided now.
     Busy,
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -250,6 +250,8 @@
                 }
             }
             PeerRequest::Withdraw { id } => self.withdraw_here(&id),
+            PeerRequest::Read { id } => self.read_for_peer(&id),
+            PeerRequest::Accept { body } => self.accept_for_peer(&body),
         }
     }
 }
