--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -286,6 +286,7 @@
         machine.recall_at = report.recall.map(|s| now + Micros::from_secs_f64(s.0));
         if !machine.counted_in && report.token == self.term {
             machine.counted_in = true;
+            log::debug!("machine {} counted in", machine.name);
             self.dirty = true;
         }
         self.apply_tasks(report, checked_in, now);
