--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -28,6 +28,15 @@
     pub objectives: Vec<Objective>,
 }
 
+/// What an earlier term recorded of a machine.
+#[derive(Clone, Debug)]
+pub struct OldRecord {
+    /// It existed at this moment, at the latest.
+    pub since: Moment,
+    /// Jobs whose tasks may be on it; None if that can't be told.
+    pub jobs: Option<BTreeSet<String>>,
+}
+
 /// Beside clock drift, allow for timers and for time between reading a clock and sending.
 const LEASE_MARGIN: Micros = Micros::from_millis(500);
 
@@ -51,8 +60,10 @@
     pub estimate_ratio: BTreeMap<String, f64>,
     /// Machines on record that may hold tasks of earlier terms, not counted in yet.
     pub unseen: BTreeSet<String>,
-    /// When machines of earlier terms were on record, at the latest.
-    pub recorded_at: BTreeMap<String, Moment>,
+    /// What earlier terms recorded of their machines.
+    pub old_records: BTreeMap<String, OldRecord>,
+    /// Held jobs were compared with the records once.
+    pub sorted_out: bool,
     /// Recorded machines that are gone: their records may go too.
     pub unrecord: BTreeSet<String>,
     /// Machines with orders that go straight to them.
@@ -76,7 +87,8 @@
             dirty: true,
             estimate_ratio: BTreeMap::new(),
             unseen: BTreeSet::new(),
-            recorded_at: BTreeMap::new(),
+            old_records: BTreeMap::new(),
+            sorted_out: false,
             unrecord: BTreeSet::new(),
             poked: BTreeSet::new(),
             urgent_rounds: false,
@@ -218,14 +230,15 @@
 
     /// Lets jobs of earlier terms go once no unseen machine can hold their tasks any more.
     ///
-    /// A machine gets its first task only once its name is on record, so the records name every
-    /// machine that can hold anything of an earlier term. Once each of them was counted in under
-    /// this term, or its session surely ended, nothing is unseen, and the wait for a full lease
-    /// can end early.
-    pub fn release_if_all_seen(&mut self, now: Moment) {
+    /// A job's tasks start on a machine only once the machine's record names the job, so the
+    /// records tell which machines can hold tasks of which jobs of earlier terms. Once each
+    /// machine that names a job was counted in under this term, or its session surely ended,
+    /// nothing of the job is unseen, and its wait for a full lease ends early.
+    pub fn release_seen(&mut self, now: Moment) {
         if self.released {
             return;
         }
+        let before = self.unseen.len();
         let machines = &self.machines;
         let fleet = &self.fleet;
         self.unseen.retain(|name| {
@@ -234,22 +247,30 @@
                 .is_some_and(|m| m.counted_in || m.session_over);
             !seen && !fleet.is_gone(name)
         });
-        if !self.unseen.is_empty() && now - self.started < self.lease_span() {
-            return;
-        }
-        log::info!(
-            "earlier jobs are released, {} machines unseen",
-            self.unseen.len()
-        );
-        for name in std::mem::take(&mut self.unseen) {
-            if !self.machines.contains_key(&name) {
-                self.unrecord.insert(name);
+        let lease_over = now - self.started >= self.lease_span();
+        if lease_over || self.unseen.is_empty() {
+            log::info!(
+                "earlier jobs are released, {} machines unseen",
+                self.unseen.len()
+            );
+            for name in std::mem::take(&mut self.unseen) {
+                if !self.machines.contains_key(&name) {
+                    self.unrecord.insert(name);
+                }
             }
+            self.released = true;
+        } else if self.unseen.len() == before && self.sorted_out {
+            return;
         }
-        self.released = true;
+        self.sorted_out = true;
         self.dirty = true;
-        for job in self.jobs.table.values_mut() {
-            job.held = false;
+        let (unseen, records) = (&self.unseen, &self.old_records);
+        let names = |machine: &String, id: &String| {
+            let jobs = records.get(machine).and_then(|r| r.jobs.as_ref());
+            jobs.is_none_or(|jobs| jobs.contains(id))
+        };
+        for job in self.jobs.table.values_mut().filter(|j| j.held) {
+            job.held = unseen.iter().any(|m| names(m, &job.spec.id));
         }
     }
 
@@ -339,10 +360,10 @@
         Some(most.0.to_string())
     }
 
-    /// A machine that was on record at `since`, at the latest, when this term began.
-    pub fn note_unseen(&mut self, name: &str, since: Moment) {
+    /// A machine that an earlier term recorded.
+    pub fn note_unseen(&mut self, name: &str, record: OldRecord) {
         self.unseen.insert(name.to_string());
-        self.recorded_at.insert(name.to_string(), since);
+        self.old_records.insert(name.to_string(), record);
     }
 
     /// What time alone changes.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,10 +4,12 @@
 pub mod wire;
 
 use crate::cluster::Cluster;
-use crate::jobs::Job;
+use crate::jobs::{Job, JobId};
 use crate::placement::Room;
 use crate::time::{Micros, Moment};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use crate::workers::Direct;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use wire::ListedMachine;
 
 /// One machine type of the cloud's catalog.
@@ -102,12 +104,28 @@
     /// Names of machines that are gone for good; late reports and lists still name them.
     gone: VecDeque<String>,
     /// Missing from the last list, though old enough to be in it.
-    unlisted: std::collections::BTreeSet<String>,
+    unlisted: BTreeSet<String>,
     /// A list was read under this term: before, nobody knows what is rented already.
     pub listed: bool,
     pub last_list: Option<Moment>,
 }
 
+/// What is to be written of a machine.
+#[derive(Clone, Debug)]
+pub struct FleetRecord {
+    pub machine: String,
+    pub jobs: BTreeSet<JobId>,
+}
+
+/// The value of `fleet/<machine>`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FleetValue {
+    /// When it was written, by the writing node's time of day.
+    pub at: u64,
+    /// Jobs whose tasks may be on the machine.
+    pub jobs: Vec<String>,
+}
+
 /// The key that names a machine which may hold tasks.
 pub const FLEET_PREFIX: &str = "fleet/";
 
@@ -426,6 +444,7 @@
             }
             let total = self.fleet.room_of(&l.type_name);
             let (started, unseen) = (self.started, &self.unseen);
+            let noted = self.old_jobs(&l.name);
             let m = self.machines.entry(l.name.clone()).or_insert_with(|| {
                 let mut m = crate::workers::Machine::new(
                     &l.name,
@@ -437,6 +456,7 @@
                 );
                 m.lease_from = started;
                 m.recorded = unseen.contains(&l.name);
+                m.noted = noted;
                 m.exists_since = Some(now);
                 m.known_since = Moment(now.0.saturating_sub((l.held_s.0 * 1e6) as u64));
                 m
@@ -453,7 +473,7 @@
         }
         self.note_unlisted(list, asked);
         self.forget_vanished(now);
-        self.release_if_all_seen(now);
+        self.release_seen(now);
     }
 
     /// Machines that a list should name and doesn't are gone, and what was on them too.
@@ -475,7 +495,7 @@
         for name in &names {
             let existed = match self.machines.get(name) {
                 Some(m) => m.exists_since,
-                None => self.recorded_at.get(name).copied(),
+                None => self.old_records.get(name).map(|r| r.since),
             };
             if existed.is_some_and(|t| t + oldest < asked) {
                 if self.fleet.unlisted.contains(name) {
@@ -519,37 +539,75 @@
         }
     }
 
-    /// Names to write to, and to delete from, the fleet's record.
-    pub fn due_fleet_records(&self, most: usize) -> (Vec<String>, Vec<String>) {
-        let add: Vec<String> = self
-            .machines
-            .values()
-            .filter(|m| !m.recorded && !m.returning)
-            .map(|m| m.name.clone())
-            .take(most)
-            .collect();
-        let left = most - add.len();
-        let delete = if self.released {
+    /// Jobs of an earlier term's record that are still known.
+    pub fn old_jobs(&self, machine: &str) -> BTreeSet<JobId> {
+        let record = self.old_records.get(machine);
+        let jobs = record.and_then(|r| r.jobs.as_ref());
+        jobs.into_iter()
+            .flatten()
+            .filter_map(|id| self.jobs.find(id))
+            .collect()
+    }
+
+    /// Machines' records to write, with the jobs they are to name, and to delete.
+    ///
+    /// Jobs of which nothing is left on the machine are dropped on the way. They may not start
+    /// there from this moment on, not only from when the write is answered.
+    pub fn due_fleet_records(&mut self, most: usize) -> (Vec<FleetRecord>, Vec<String>) {
+        let mut writes = Vec::new();
+        for m in self.machines.values_mut() {
+            if writes.len() >= most {
+                break;
+            }
+            if m.to_note.is_empty() || m.returning || !m.counted_in {
+                continue;
+            }
+            let open: BTreeSet<JobId> = m
+                .attempts
+                .iter()
+                .filter(|(_, a)| a.holds() || a.direct != Direct::Settled)
+                .map(|(k, _)| k.0)
+                .collect();
+            m.noted.retain(|id| open.contains(id));
+            m.to_note.retain(|id| open.contains(id));
+            writes.push(FleetRecord {
+                machine: m.name.clone(),
+                jobs: m.noted.union(&m.to_note).copied().collect(),
+            });
+        }
+        let left = most - writes.len();
+        let deletes = if self.released {
             self.unrecord.iter().take(left).cloned().collect()
         } else {
             Vec::new()
         };
-        (add, delete)
+        (writes, deletes)
     }
 
-    pub fn fleet_recorded(&mut self, added: &[String], deleted: &[String]) {
-        for name in added {
-            match self.machines.get_mut(name) {
-                Some(m) => m.recorded = true,
+    /// The jobs' names, as the record holds them.
+    pub fn names_of(&self, jobs: &BTreeSet<JobId>) -> Vec<String> {
+        jobs.iter()
+            .filter_map(|id| Some(self.jobs.table.get(id)?.spec.id.clone()))
+            .collect()
+    }
+
+    pub fn fleet_recorded(&mut self, written: &[FleetRecord], deleted: &[String]) {
+        for record in written {
+            match self.machines.get_mut(&record.machine) {
+                Some(m) => {
+                    m.recorded = true;
+                    m.to_note.retain(|id| !record.jobs.contains(id));
+                    m.noted.clone_from(&record.jobs);
+                    self.poked.insert(record.machine.clone());
+                }
                 None => {
-                    self.unrecord.insert(name.clone());
+                    self.unrecord.insert(record.machine.clone());
                 }
             }
         }
         for name in deleted {
             self.unrecord.remove(name);
         }
-        self.dirty = true;
     }
 
     /// Chooses machines to return, and names those whose return is due now.
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -2,16 +2,15 @@
 
 use super::rounds::{Write, WriteKind, pack};
 use super::{DoneRecord, JobView};
-use crate::fleet::FLEET_PREFIX;
+use crate::fleet::{FLEET_PREFIX, FleetValue};
 use crate::node::Node;
 use crate::state_store::bucket::TokenBucket;
-use crate::state_store::{Change, Commit, StoreError, Urgency, from_value};
+use crate::state_store::{Change, Commit, StoreError, Urgency, from_value, to_value};
 use crate::time::{Micros, Moment};
-use ciborium::Value;
 use std::time::Duration;
 
 /// Final states that complete within this long share a transaction.
-const GATHER: Duration = Duration::from_millis(60);
+const GATHER: Duration = Duration::from_millis(25);
 
 impl Node {
     pub fn rounds_loop(&self) {
@@ -24,7 +23,7 @@
         loop {
             std::thread::sleep(GATHER);
             let now = self.now();
-            let (writes, guard, added, deleted) = {
+            let (writes, guard, records, deleted) = {
                 let mut core = self.core();
                 let Some((lead, cluster)) = core.acting(now) else {
                     drop(
@@ -47,8 +46,12 @@
                     writes.extend(cluster.due_retirements(left, site.txn_ops));
                 }
                 let most = site.txn_ops.min(site.write_rps as usize / 2).max(1);
-                let (added, deleted) = cluster.due_fleet_records(most);
-                let idle = writes.is_empty() && added.is_empty() && deleted.is_empty();
+                let (records, deleted) = cluster.due_fleet_records(most);
+                let records: Vec<_> = records
+                    .into_iter()
+                    .map(|r| (cluster.names_of(&r.jobs), r))
+                    .collect();
+                let idle = writes.is_empty() && records.is_empty() && deleted.is_empty();
                 if idle || now < not_before {
                     let wait = (next_round - now)
                         .max(not_before - now)
@@ -61,23 +64,27 @@
                     );
                     continue;
                 }
-                (writes, guard, added, deleted)
+                (writes, guard, records, deleted)
             };
-            if !added.is_empty() || !deleted.is_empty() {
-                let at = Value::from(self.clock.wall().0);
-                let write = |n: &String| Change::write(format!("{FLEET_PREFIX}{n}"), at.clone());
-                let delete = |n: &String| Change::delete(format!("{FLEET_PREFIX}{n}"));
-                let changes: Vec<Change> = added
-                    .iter()
-                    .map(write)
-                    .chain(deleted.iter().map(delete))
-                    .collect();
+            if !records.is_empty() || !deleted.is_empty() {
+                let at = self.clock.wall().0;
+                let mut changes = Vec::new();
+                let mut written = Vec::new();
+                for (jobs, record) in records {
+                    let key = format!("{FLEET_PREFIX}{}", record.machine);
+                    changes.push(Change::write(key, to_value(&FleetValue { at, jobs })));
+                    written.push(record);
+                }
+                for name in &deleted {
+                    changes.push(Change::delete(format!("{FLEET_PREFIX}{name}")));
+                }
                 tokens.force(changes.len() as f64, self.now());
                 let guards = [guard.clone()];
                 match self.store.multi(&guards, &changes, Urgency::Normal) {
                     Ok(Commit::Done { .. }) => {
                         if let Some(cluster) = &mut self.core().cluster {
-                            cluster.fleet_recorded(&added, &deleted);
+                            cluster.fleet_recorded(&written, &deleted);
+                            self.wake(cluster);
                         }
                     }
                     Ok(Commit::Conflict { .. }) => self.core().step_down = true,
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -93,15 +93,12 @@
     /// Final jobs of which nothing is left on any machine: only `final/<ref>` stays, so that a
     /// new leader reads no more than what still matters.
     pub fn due_retirements(&self, budget: usize, txn_ops: usize) -> Vec<Write> {
-        if !self.released {
-            // An unseen machine may still run tasks, and its team's quota needs their size.
-            return Vec::new();
-        }
         let mut writes = Vec::new();
         let mut ops = 0;
         for (id, job) in &self.jobs.table {
             let Some(outcome) = job.outcome else { continue };
-            if !job.bound.is_empty() || self.has_open_starts(*id) {
+            // An unseen machine may still run tasks of a held job: its team's limit needs them.
+            if job.held || !job.bound.is_empty() || self.has_open_starts(*id) {
                 continue;
             }
             let spec_id = &job.spec.id;
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -1,8 +1,8 @@
 //! The loop that takes and keeps the lead.
 
 use super::{LEADER_KEY, Lead, LeaderRecord, Take, hold_until, take};
-use crate::cluster::Cluster;
-use crate::fleet::FLEET_PREFIX;
+use crate::cluster::{Cluster, OldRecord};
+use crate::fleet::{FLEET_PREFIX, FleetValue};
 use crate::jobs::DoneRecord;
 use crate::jobs::spec::Submission;
 use crate::node::Node;
@@ -255,10 +255,14 @@
                         };
                         cluster.add_job(&s, row.stamp, row.stamp <= lead.stamp, now, wall);
                     } else if prefix == FLEET_PREFIX {
-                        // Recorded before now at the latest; older records say when.
-                        let at = from_value::<u64>(&row.data).unwrap_or(wall.0);
+                        let value = from_value::<FleetValue>(&row.data);
+                        let at = value.as_ref().map_or(wall.0, |v| v.at);
                         let age = Micros(wall.0.saturating_sub(at)).saturating_sub(skew);
-                        cluster.note_unseen(rest, Moment(now.0.saturating_sub(age.0)));
+                        let record = OldRecord {
+                            since: Moment(now.0.saturating_sub(age.0)),
+                            jobs: value.map(|v| v.jobs.into_iter().collect()),
+                        };
+                        cluster.note_unseen(rest, record);
                     } else if let Some((id, chunk)) = rest.split_once('/')
                         && let Ok(chunk) = chunk.parse()
                     {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -207,7 +207,7 @@
         let fresh = m
             .last_report
             .is_some_and(|t| now - t < self.config.report.scaled(2.0));
-        m.counted_in && m.recorded && !m.lost && !m.returning && !m.faulty && !m.recalled && fresh
+        m.counted_in && !m.lost && !m.returning && !m.faulty && !m.recalled && fresh
     }
 
     /// One pass: binds waiting tasks to machines and marks what must make room.
@@ -290,7 +290,12 @@
                 },
             );
             machine.idle_since = None;
-            self.poked.insert(place.name.clone());
+            if machine.noted.contains(&id) {
+                self.poked.insert(place.name.clone());
+            } else {
+                machine.to_note.insert(id);
+                self.urgent_rounds = true;
+            }
             let cache_gb = self
                 .fleet
                 .catalog
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -89,8 +89,12 @@
     pub lost: bool,
     /// Nothing of an earlier term can be on it, though it may not be counted in.
     pub session_over: bool,
-    /// Its name is in the state service; before, it gets no task.
+    /// Its key may be in the state service.
     pub recorded: bool,
+    /// Jobs that its record names: only their tasks may start here.
+    pub noted: BTreeSet<JobId>,
+    /// Jobs placed here that wait for the record.
+    pub to_note: BTreeSet<JobId>,
     /// The lease can't have been renewed by anyone after this.
     pub lease_from: Moment,
     pub last_report: Option<Moment>,
@@ -157,6 +161,8 @@
             lost: false,
             session_over: false,
             recorded: false,
+            noted: BTreeSet::new(),
+            to_note: BTreeSet::new(),
             lease_from: now,
             last_report: None,
             recalled: false,
@@ -234,8 +240,9 @@
             );
             machine.lease_from = self.started;
             machine.recorded = self.unseen.contains(&report.machine);
+            machine.noted = self.old_jobs(&report.machine);
             // A report may be late, and its machine gone: only a list or a rental proves more.
-            machine.exists_since = self.recorded_at.get(&report.machine).copied();
+            machine.exists_since = self.old_records.get(&report.machine).map(|r| r.since);
             self.machines.insert(report.machine.clone(), machine);
         }
         let Some(machine) = self.machines.get_mut(&report.machine) else {
@@ -251,7 +258,7 @@
         }
         // Else the answer of a direct call overtook this report, whose task list is older than
         // what is known; the answer to it is as good as any.
-        self.release_if_all_seen(now);
+        self.release_seen(now);
         if self.dirty {
             self.place(now);
         }
@@ -489,7 +496,7 @@
             }
             self.end_session(&name);
         }
-        self.release_if_all_seen(now);
+        self.release_seen(now);
     }
 
     /// The orders for one machine: the difference between wanted and reported.
@@ -555,6 +562,9 @@
                         }
                         continue;
                     }
+                    if !machine.noted.contains(&key.0) {
+                        continue;
+                    }
                     attempt.sent = Some(here);
                     starts.push(order(Verb::Run, None));
                 }
@@ -603,7 +613,8 @@
             };
             let verb = match (attempt.status, attempt.wanted) {
                 (None, Wanted::Run)
-                    if attempt.sent.is_none()
+                    if machine.noted.contains(&key.0)
+                        && attempt.sent.is_none()
                         && attempt.direct == Direct::Settled
                         && !job.cancel_asked
                         && job.outcome.is_none() =>
--- a/tests/common/trace.rs
+++ b/tests/common/trace.rs
@@ -1,6 +1,6 @@
 //! A small world for traces: events go into a `Cluster`, and what it wants is written down.
 
-use aspenreel::cluster::{Cluster, ClusterConfig};
+use aspenreel::cluster::{Cluster, ClusterConfig, OldRecord};
 use aspenreel::fleet::wire::{Catalog, ListedMachine};
 use aspenreel::http::cbor::{Decimal, decode, encode};
 use aspenreel::jobs::rounds::{Write as RecordWrite, WriteKind};
@@ -174,7 +174,9 @@
     }
 
     pub fn send(&mut self, report: &Report) -> &mut Self {
-        // In a trace the fleet's record is written as soon as it is due.
+        // In a trace machines' records are written as soon as they are due.
+        self.cluster.place(self.now);
+        self.record_fleet();
         let answer = self.cluster.check_in(report, self.now);
         let text = match answer {
             CheckIn::Orders(orders) if orders.is_empty() => "nothing to do".to_string(),
@@ -209,9 +211,21 @@
         }
     }
 
+    /// A machine that an earlier term recorded, with jobs that may be on it.
+    pub fn recorded(&mut self, machine: &str, since: f64, jobs: &[&str]) -> &mut Self {
+        let jobs = jobs.iter().map(|j| j.to_string()).collect();
+        let record = OldRecord {
+            since: at(since),
+            jobs: Some(jobs),
+        };
+        self.cluster.note_unseen(machine, record);
+        self
+    }
+
     pub fn tick(&mut self, seconds: f64) -> &mut Self {
         self.now = at(seconds);
         self.cluster.tick(self.now);
+        self.record_fleet();
         self
     }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -62,8 +62,8 @@
 #[test]
 fn takeover_waits_for_recorded_machines() {
     let mut w = World::new(5, one_team());
-    w.cluster.note_unseen("big-east-1", at(-100.0));
-    w.cluster.note_unseen("big-east-2", at(-100.0));
+    w.recorded("big-east-1", -100.0, &["run-1"]);
+    w.recorded("big-east-2", -100.0, &["run-1"]);
     w.old_job(submission("run-1", |s| s.pieces = 2));
     w.at(0.2).job(submission("run-2", |s| s.pieces = 1));
     let old_token = w.report("big-east-1", 4, 1, &["run-1/0#4.1 running"]);
@@ -79,7 +79,7 @@
 #[test]
 fn takeover_waits_a_lease_for_a_silent_machine() {
     let mut w = World::new(5, one_team());
-    w.cluster.note_unseen("big-east-9", at(-1.0));
+    w.recorded("big-east-9", -1.0, &["run-1"]);
     w.old_job(submission("run-1", |s| s.pieces = 1));
     for t in [1.0, 10.0, 20.0, 20.4] {
         w.at(t).check_in("big-east-1", &[]);
@@ -93,8 +93,8 @@
 #[test]
 fn unlisted_machines_are_gone() {
     let mut w = World::new(5, one_team());
-    w.cluster.note_unseen("big-east-9", at(-60.0));
-    w.cluster.note_unseen("big-east-8", at(-2.0));
+    w.recorded("big-east-9", -60.0, &["run-1"]);
+    w.recorded("big-east-8", -2.0, &["run-1"]);
     w.old_job(submission("run-1", |s| s.pieces = 1));
     w.at(1.0).check_in("big-east-1", &[]);
     w.at(2.0).list(&[("big-east-1", "running")]);
@@ -202,7 +202,7 @@
 #[test]
 fn quota_counts_unseen_machines() {
     let mut w = World::new(2, vec![team("a", 8.0, 12.0)]);
-    w.cluster.note_unseen("big-east-9", at(-1.0));
+    w.recorded("big-east-9", -1.0, &["run-1"]);
     w.old_job(submission("run-1", |s| s.pieces = 2));
     w.at(0.1).job(submission("run-2", |s| s.pieces = 3));
     w.at(1.0).check_in("big-east-1", &[]).bound();
@@ -367,7 +367,7 @@
 #[test]
 fn returns() {
     let mut w = World::new(4, one_team());
-    w.cluster.note_unseen("big-east-1", at(-300.0));
+    w.recorded("big-east-1", -300.0, &[]);
     w.at(1.0)
         .list(&[("big-east-1", "running"), ("small-west-2", "starting")]);
     let due = w.cluster.plan_returns(at(1.0));
@@ -382,3 +382,37 @@
     w.at(141.0).check_in("big-east-1", &[]);
     assert_snapshot!(w.log);
 }
+
+/// Only jobs that an unseen machine's record names wait for it.
+#[test]
+fn takeover_holds_only_what_may_be_unseen() {
+    let mut w = World::new(5, one_team());
+    w.recorded("big-east-9", -50.0, &["run-1"]);
+    w.recorded("big-east-1", -50.0, &["run-1", "run-2"]);
+    w.old_job(submission("run-1", |s| s.pieces = 1));
+    w.old_job(submission("run-2", |s| s.pieces = 1));
+    w.at(1.0).check_in("big-east-1", &[]).tick(1.2).bound();
+    w.at(4.0)
+        .check_in("big-east-1", &["run-2/0#5.1 running"])
+        .bound();
+    w.at(20.0).check_in("big-east-1", &["run-2/0#5.1 running"]);
+    w.tick(20.6).bound();
+    assert_snapshot!(w.log);
+}
+
+/// A task starts on a machine only once the machine's record names its job.
+#[test]
+fn no_start_before_the_record() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.at(1.0).job(submission("run-1", |s| s.pieces = 1));
+    w.cluster.tick(at(1.0));
+    w.bound().direct(|_| unreachable!());
+    let (records, _) = w.cluster.due_fleet_records(10);
+    let names = w.cluster.names_of(&records[0].jobs);
+    w.note(&format!("{} is to name {names:?}", records[0].machine));
+    w.cluster.fleet_recorded(&records, &[]);
+    w.at(1.1)
+        .direct(|w| DirectResult::Report(w.report("big-east-1", 2, 1, &["run-1/0#2.1 running"])));
+    assert_snapshot!(w.log);
+}
