--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,7 +9,7 @@
 use crate::time::{Micros, Moment};
 use crate::workers::Direct;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use wire::ListedMachine;
 
 /// One machine type of the cloud's catalog.
@@ -102,7 +102,7 @@
     hire_count: u32,
     no_room: HashMap<Offer, Moment>,
     /// Names of machines that are gone for good; late reports and lists still name them.
-    gone: VecDeque<String>,
+    gone: BTreeSet<String>,
     /// Missing from the last list, though old enough to be in it.
     unlisted: BTreeSet<String>,
     /// A list was read under this term: before, nobody knows what is rented already.
@@ -139,7 +139,7 @@
 
 impl Fleet {
     pub fn is_gone(&self, name: &str) -> bool {
-        self.gone.iter().any(|g| g == name)
+        self.gone.contains(name)
     }
 
     fn type_of(&self, name: &str) -> Option<&MachineType> {
@@ -160,7 +160,7 @@
             .max(0.01)
     }
 
-    /// Offers in order of what one CPU costs (or, for machines without, one machine).
+    /// Everything that can be asked for, with its present price.
     fn offers(&self) -> Vec<(Offer, f64)> {
         let mut offers = Vec::new();
         for (type_index, t) in self.catalog.iter().enumerate() {
@@ -666,8 +666,9 @@
     pub fn returned(&mut self, names: &[String]) {
         for name in names {
             self.drop_machine(name);
-            self.fleet.gone.push_back(name.clone());
+            self.fleet.gone.insert(name.clone());
         }
+        // Names come in the order of creation: the first ones are the oldest.
         while self.fleet.gone.len() > GONE_KEPT {
             self.fleet.gone.pop_front();
         }
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -28,9 +28,10 @@
 pub struct Lead {
     pub term: u64,
     pub permit: u64,
-    /// Every write of ours guards this.
+    /// Revision at which the lead was taken. Every write of ours guards it, and jobs accepted
+    /// later are this term's.
     pub stamp: u64,
-    /// Revision at which the lead was taken: jobs accepted later are this term's.
+    /// The hold surely lives until then; after it, nobody may be answered.
     pub valid_until: Moment,
 }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,7 +5,7 @@
 use crate::jobs::{Job, JobId};
 use crate::time::{Micros, Moment};
 use crate::workers::wire::TaskStatus;
-use crate::workers::{Attempt, Direct, Machine, Wanted};
+use crate::workers::{Attempt, Machine, Wanted};
 use std::collections::{BTreeMap, HashMap};
 
 /// Resources in whole thousandths, so that sums are exact.
@@ -104,6 +104,9 @@
 /// Seconds of fetching that a spot machine's place is worth against an ordinary one's.
 const DEAR: f64 = 10.0;
 
+/// Estimates are rough: a little past its latest start a job may still be in time.
+const LATE_GRACE: Micros = Micros::from_secs(5);
+
 /// How strongly small jobs go before large ones.
 const SMALL_FIRST: f64 = 10.0;
 
@@ -192,7 +195,7 @@
                 Priority {
                     beyond_guarantee: !within,
                     rank: std::cmp::Reverse(job.spec.rank),
-                    late: now > latest_start + Micros::from_secs(5),
+                    late: now > latest_start + LATE_GRACE,
                     press,
                     accepted: job.accepted_at,
                 },
@@ -275,20 +278,9 @@
             };
             self.counter += 1;
             let number = (self.term << 32) | u64::from(self.counter);
-            machine.attempts.insert(
-                (id, task, number),
-                Attempt {
-                    wanted: Wanted::Run,
-                    status: None,
-                    sent: None,
-                    direct: Direct::Settled,
-                    stop_sent: None,
-                    placed_at: now,
-                    running_since: None,
-                    bound: true,
-                    done: false,
-                },
-            );
+            machine
+                .attempts
+                .insert((id, task, number), Attempt::placed(now));
             machine.idle_since = None;
             if machine.noted.contains(&id) {
                 self.poked.insert(place.name.clone());
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -50,6 +50,25 @@
 }
 
 impl Attempt {
+    fn new(bound: bool, now: Moment) -> Attempt {
+        Attempt {
+            wanted: Wanted::Run,
+            status: None,
+            sent: None,
+            direct: Direct::Settled,
+            stop_sent: None,
+            placed_at: now,
+            running_since: None,
+            bound,
+            done: false,
+        }
+    }
+
+    /// An attempt that was just decided.
+    pub fn placed(now: Moment) -> Attempt {
+        Attempt::new(true, now)
+    }
+
     /// False once it surely no longer holds anything on the machine.
     pub fn holds(&self) -> bool {
         self.bound
@@ -360,17 +379,7 @@
                 if bound {
                     job.bind(number);
                 }
-                Attempt {
-                    wanted: Wanted::Run,
-                    status: None,
-                    sent: None,
-                    direct: Direct::Settled,
-                    stop_sent: None,
-                    placed_at: now,
-                    running_since: None,
-                    bound,
-                    done: false,
-                }
+                Attempt::new(bound, now)
             });
             let was = attempt.status;
             attempt.status = Some(task.status);
