--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -670,7 +670,7 @@
         }
         // Names come in the order of creation: the first ones are the oldest.
         while self.fleet.gone.len() > GONE_KEPT {
-            self.fleet.gone.pop_front();
+            self.fleet.gone.pop_first();
         }
     }
 }
--- a/src/state_store/mod.rs
+++ b/src/state_store/mod.rs
@@ -33,8 +33,6 @@
     pub key: String,
     pub data: Value,
     pub stamp: u64,
-    #[serde(default)]
-    pub permit: Option<u64>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
