--- a/src/fleet/edge.rs
+++ b/src/fleet/edge.rs
@@ -64,21 +64,26 @@
         }
     }
 
-    /// Gets the catalog at the start: from the cloud, or from the copy that a leader keeps.
+    /// Gets the catalog: at the start from the copy that a leader keeps, which is there sooner
+    /// and even while the cloud is down, else from the cloud; then from the cloud now and then.
     pub fn catalog_loop(&self) {
-        loop {
-            if let Some(catalog) = self.fetch_catalog() {
-                self.set_catalog(&catalog);
-                return;
-            }
+        while self.catalog().is_none() {
             if let Ok(Some(row)) = self.store.get(CATALOG_KEY, Urgency::Normal)
                 && let Some(catalog) = from_value::<Catalog>(&row.data)
+                && !catalog.builds.is_empty()
             {
-                log::info!("catalog read from its copy");
                 self.set_catalog(&catalog);
-                return;
+            } else if let Some(catalog) = self.fetch_catalog() {
+                self.set_catalog(&catalog);
+            } else {
+                std::thread::sleep(Duration::from_millis(fastrand::u64(300..600)));
+            }
+        }
+        loop {
+            std::thread::sleep(Duration::from_secs(fastrand::u64(240..360)));
+            if let Some(catalog) = self.fetch_catalog() {
+                self.set_catalog(&catalog);
             }
-            std::thread::sleep(Duration::from_millis(fastrand::u64(400..800)));
         }
     }
 
