--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -160,6 +160,27 @@
             .max(0.01)
     }
 
+    /// How much more a CPU costs on such a machine than on the cheapest: 0 for the cheapest.
+    pub fn dearness(&self, type_name: &str, spot: bool) -> f64 {
+        let per_cpu = |t: &MachineType, spot: bool| {
+            let price = if spot { t.spot_price } else { t.price };
+            price / t.room.cpu.max(1) as f64
+        };
+        let cheapest = self
+            .catalog
+            .iter()
+            .map(|t| per_cpu(t, true).min(per_cpu(t, false)))
+            .fold(f64::INFINITY, f64::min);
+        let own = self
+            .type_of(type_name)
+            .map_or(cheapest, |t| per_cpu(t, spot));
+        if cheapest > 0.0 && cheapest.is_finite() {
+            (own / cheapest - 1.0).max(0.0)
+        } else {
+            0.0
+        }
+    }
+
     /// Everything that can be asked for, with its present price.
     fn offers(&self) -> Vec<(Offer, f64)> {
         let mut offers = Vec::new();
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -101,8 +101,10 @@
     accepted: Moment,
 }
 
-/// Seconds of fetching that a spot machine's place is worth against an ordinary one's.
-const DEAR: f64 = 10.0;
+/// Seconds of fetching that a place is worth for each time that a CPU costs more elsewhere, and
+/// the most that counts.
+const DEAR: f64 = 6.0;
+const MOST_DEAR: f64 = 10.0;
 
 /// Estimates are rough: a little past its latest start a job may still be in time.
 const LATE_GRACE: Micros = Micros::from_secs(5);
@@ -405,7 +407,7 @@
             0.0
         };
         // Dear machines are left to themselves, so that they fall idle and go back.
-        let dear = if m.spot { 0.0 } else { DEAR };
+        let dear = (DEAR * self.fleet.dearness(&m.type_name, m.spot)).min(MOST_DEAR);
         Some(fetch + 3.0 * left + dear + failed)
     }
 
