--- a/src/cli.rs
+++ b/src/cli.rs
@@ -38,7 +38,8 @@
     #[arg(long, env = "ASPENREEL_HOLD_MS", default_value_t = 8000,
           value_parser = clap::value_parser!(u64).range(1000..=60_000))]
     pub hold_ms: u64,
-    /// A machine without work is returned after this long, in milliseconds
+    /// A spot machine without work is returned after this long, in milliseconds; an ordinary one
+    /// after a quarter of it
     #[arg(long, env = "ASPENREEL_IDLE_MS", default_value_t = 20_000,
           value_parser = clap::value_parser!(u64).range(1000..=86_400_000))]
     pub idle_ms: u64,
