--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,48 @@
+//! The command line: `aspenreel serve --config FILE`, with every flag also a variable.
+
+use clap::{Args, Parser, Subcommand};
+use std::path::PathBuf;
+
+#[derive(Debug, Parser)]
+#[command(
+    name = "aspenreel",
+    version,
+    about = "A small durable cluster scheduler"
+)]
+pub struct Cli {
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Run one controller until it is killed
+    Serve(ServeOptions),
+}
+
+#[derive(Clone, Debug, Args)]
+pub struct ServeOptions {
+    /// Length of a write round for done sets, in milliseconds
+    #[arg(long, env = "ASPENREEL_ROUND_MS", default_value_t = 2000,
+          value_parser = clap::value_parser!(u64).range(50..=60_000))]
+    pub round_ms: u64,
+    /// Machines drawn for a task before all are looked at
+    #[arg(long, env = "ASPENREEL_SAMPLE", default_value_t = 3,
+          value_parser = clap::value_parser!(u64).range(1..=1000))]
+    pub sample: u64,
+    /// Changes a round may write, as a share of the state service's limit, in percent
+    #[arg(long, env = "ASPENREEL_WRITE_BUDGET", default_value_t = 25,
+          value_parser = clap::value_parser!(u64).range(1..=90))]
+    pub write_budget: u64,
+    /// Life of the leader's hold, in milliseconds
+    #[arg(long, env = "ASPENREEL_HOLD_MS", default_value_t = 8000,
+          value_parser = clap::value_parser!(u64).range(1000..=60_000))]
+    pub hold_ms: u64,
+    /// A machine without work is returned after this long, in milliseconds
+    #[arg(long, env = "ASPENREEL_IDLE_MS", default_value_t = 30_000,
+          value_parser = clap::value_parser!(u64).range(1000..=86_400_000))]
+    pub idle_ms: u64,
+    /// The platform's settings file (TOML)
+    #[arg(long, value_name = "FILE")]
+    pub config: PathBuf,
+}
--- /dev/null
+++ b/src/cluster.rs
@@ -0,0 +1,216 @@
+//! What the leader holds in memory, and the events that change it.
+//!
+//! Everything here is deterministic: events, `now` and a seeded generator go in, the wanted
+//! state comes out. Threads, sockets and clocks stay outside, so that a test replays a trace.
+
+use crate::fleet::Fleet;
+use crate::jobs::spec::Submission;
+use crate::jobs::{DoneRecord, Job, JobId, JobView, Jobs, Outcome, ViewState, new_job};
+use crate::settings::TeamSettings;
+use crate::time::{Micros, Moment, WallTime, at_most};
+use crate::workers::Machine;
+use crate::workers::wire::TaskStatus;
+use std::collections::BTreeMap;
+
+/// What an operator and the platform set.
+#[derive(Clone, Debug)]
+pub struct ClusterConfig {
+    pub teams: Vec<TeamSettings>,
+    pub lease: Micros,
+    pub report: Micros,
+    pub list_lag: Micros,
+    pub sample: usize,
+    pub idle: Micros,
+}
+
+/// Beside clock drift, allow for timers and for time between reading a clock and sending.
+const LEASE_MARGIN: Micros = Micros::from_millis(500);
+
+#[derive(Debug)]
+pub struct Cluster {
+    pub config: ClusterConfig,
+    pub term: u64,
+    /// Attempts are `term << 32 | counter`: they rise across leaders with nothing written.
+    pub counter: u32,
+    /// When the lead was surely ours: older leaders answered nobody after this.
+    pub started: Moment,
+    pub jobs: Jobs,
+    pub machines: BTreeMap<String, Machine>,
+    pub fleet: Fleet,
+    pub rng: fastrand::Rng,
+    /// Jobs of earlier terms may be placed: a full lease passed under this term.
+    pub released: bool,
+    /// Something changed that a placement pass should look at.
+    pub dirty: bool,
+    /// A job's final state waits for its record.
+    pub urgent_rounds: bool,
+}
+
+impl Cluster {
+    pub fn new(config: ClusterConfig, term: u64, started: Moment, seed: u64) -> Cluster {
+        Cluster {
+            config,
+            term,
+            counter: 0,
+            started,
+            jobs: Jobs::default(),
+            machines: BTreeMap::new(),
+            fleet: Fleet::default(),
+            rng: fastrand::Rng::with_seed(seed),
+            released: false,
+            dirty: true,
+            urgent_rounds: false,
+        }
+    }
+
+    /// After this long without an answer a worker's session is over.
+    pub fn lease_span(&self) -> Micros {
+        at_most(self.config.lease) + LEASE_MARGIN
+    }
+
+    /// Adds an accepted job. `held`: it was accepted under an earlier term.
+    pub fn add_job(
+        &mut self,
+        submission: &Submission,
+        stamp: u64,
+        held: bool,
+        now: Moment,
+        wall: WallTime,
+    ) -> JobId {
+        if let Some(id) = self.jobs.find(&submission.id) {
+            return id;
+        }
+        let spec = submission.spec();
+        let team = self.config.teams.iter().position(|t| t.name == spec.team);
+        let age = wall.0.saturating_sub(spec.accepted.0);
+        let accepted_at = Moment(now.0.saturating_sub(age));
+        self.dirty = true;
+        self.jobs
+            .insert(new_job(spec, team, stamp, accepted_at, held))
+    }
+
+    /// Takes in a done set's key, read at takeover or after a conflict.
+    pub fn load_done(&mut self, id: &str, chunk: u32, record: &DoneRecord, stamp: u64) {
+        let Some(job_id) = self.jobs.find(id) else {
+            return;
+        };
+        let Some(job) = self.jobs.table.get_mut(&job_id) else {
+            return;
+        };
+        let Some(known) = job.stamps.get_mut(chunk as usize) else {
+            return;
+        };
+        *known = stamp;
+        let mut set = job.recorded.clone();
+        if set.add_chunk(chunk, &record.set).is_none() {
+            log::error!("done set of {id}: malformed chunk {chunk}");
+            return;
+        }
+        job.recorded = set;
+        for task in job.recorded.iter().collect::<Vec<_>>() {
+            job.done.insert(task);
+        }
+        if let Some(outcome) = record.state {
+            self.finish(job_id, outcome);
+        }
+    }
+
+    /// A job's final state is recorded: nothing of it may run any more.
+    pub fn finish(&mut self, id: JobId, outcome: Outcome) {
+        let Some(job) = self.jobs.table.get_mut(&id) else {
+            return;
+        };
+        if job.outcome.is_some() {
+            return;
+        }
+        job.outcome = Some(outcome);
+        let mut running = Vec::new();
+        for m in self.machines.values() {
+            for key in m
+                .attempts
+                .range((id, 0, 0)..=(id, u32::MAX, u64::MAX))
+                .map(|(k, _)| *k)
+            {
+                running.push((m.name.clone(), key));
+            }
+        }
+        for (machine, key) in running {
+            // Not even time to save: nobody has a use for what it does now.
+            if let Some(a) = self
+                .machines
+                .get_mut(&machine)
+                .and_then(|m| m.attempts.get_mut(&key))
+            {
+                a.wanted = crate::workers::Wanted::Stop {
+                    leeway: Micros::ZERO,
+                };
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// From here on nothing of the job starts; it is cancelled once that is recorded.
+    pub fn ask_cancel(&mut self, id: &str) -> bool {
+        let Some(job_id) = self.jobs.find(id) else {
+            return false;
+        };
+        if let Some(job) = self.jobs.table.get_mut(&job_id)
+            && job.outcome.is_none()
+        {
+            job.cancel_asked = true;
+            self.urgent_rounds = true;
+        }
+        true
+    }
+
+    pub fn view(&self, id: &str) -> Option<JobView> {
+        let job = self.jobs.get(id)?;
+        if let Some(outcome) = job.outcome {
+            return Some(JobView::of_final(outcome, job.spec.tasks));
+        }
+        let running = self.running_of(self.jobs.find(id)?);
+        Some(JobView {
+            state: if running > 0 {
+                ViewState::Running
+            } else {
+                ViewState::Queued
+            },
+            done: job.recorded.len(),
+            running,
+        })
+    }
+
+    fn running_of(&self, id: JobId) -> u32 {
+        self.machines
+            .values()
+            .flat_map(|m| m.attempts.range((id, 0, 0)..=(id, u32::MAX, u64::MAX)))
+            .filter(|(_, a)| a.status == Some(TaskStatus::Running))
+            .count() as u32
+    }
+
+    /// Lets jobs of earlier terms go once no unseen machine can hold their tasks any more.
+    pub fn release_if_all_seen(&mut self, now: Moment) {
+        if self.released || now - self.started < self.lease_span() {
+            return;
+        }
+        log::info!("a full lease has passed: earlier jobs are released");
+        self.released = true;
+        self.dirty = true;
+        for job in self.jobs.table.values_mut() {
+            job.held = false;
+        }
+    }
+
+    /// What time alone changes.
+    pub fn tick(&mut self, now: Moment) {
+        self.expire_leases(now);
+        let retry = self.jobs.table.values().any(retry_due(now));
+        if self.dirty || retry {
+            self.place(now);
+        }
+    }
+}
+
+fn retry_due(now: Moment) -> impl Fn(&Job) -> bool {
+    move |j| j.retry_at > Moment(0) && j.retry_at <= now && j.ready() > 0
+}
--- /dev/null
+++ b/src/fleet/edge.rs
@@ -0,0 +1,248 @@
+//! Calls to the cloud, behind their tokens, and the catalog's copy in the state service.
+
+use super::HireResult;
+use super::wire::{Catalog, MachineList, Names, RentRequest};
+use crate::http::cbor::{decode, encode};
+use crate::http::client::CallError;
+use crate::node::Node;
+use crate::state_store::{Change, Urgency, from_value, to_value};
+use crate::time::{Micros, Moment};
+use std::sync::Arc;
+use std::time::Duration;
+
+const CATALOG_KEY: &str = "catalog";
+const CALL_TIME: Duration = Duration::from_secs(4);
+const STEP: Duration = Duration::from_millis(500);
+const LIST_EVERY: Micros = Micros::from_secs(3);
+const CATALOG_EVERY: Micros = Micros::from_secs(60);
+const LIST_PAGE: usize = 500;
+
+impl Node {
+    fn cloud_call(&self, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+        let now = self.now();
+        {
+            let mut tokens = self.cloud_tokens.lock().unwrap_or_else(|e| e.into_inner());
+            if !tokens.take(1.0, now) {
+                return None;
+            }
+        }
+        match self.cloud.call(method, path, body, CALL_TIME) {
+            Ok((429, _)) => {
+                let pause = Micros::from_millis(500 + fastrand::u64(0..500));
+                let mut tokens = self.cloud_tokens.lock().unwrap_or_else(|e| e.into_inner());
+                tokens.punish(pause, now);
+                None
+            }
+            Ok(answer) => Some(answer),
+            Err(CallError::Unsent(e) | CallError::Unknown(e)) => {
+                log::debug!("cloud: {path}: {e}");
+                None
+            }
+        }
+    }
+
+    fn set_catalog(&self, catalog: &Catalog) {
+        let types = Arc::new(catalog.types());
+        *self.catalog.lock().unwrap_or_else(|e| e.into_inner()) = Some(types.clone());
+        if let Some(cluster) = &mut self.core().cluster {
+            cluster.fleet.catalog = types.to_vec();
+        }
+    }
+
+    fn fetch_catalog(&self) -> Option<Catalog> {
+        let (status, body) = self.cloud_call("GET", "/catalog", &[])?;
+        if status != 200 {
+            return None;
+        }
+        match decode::<Catalog>(&body) {
+            Ok(catalog) if !catalog.builds.is_empty() => Some(catalog),
+            Ok(_) => None,
+            Err(e) => {
+                log::info!("malformed catalog: {e}");
+                None
+            }
+        }
+    }
+
+    /// Gets the catalog at the start: from the cloud, or from the copy that a leader keeps.
+    pub fn catalog_loop(&self) {
+        loop {
+            if let Some(catalog) = self.fetch_catalog() {
+                self.set_catalog(&catalog);
+                return;
+            }
+            if let Ok(Some(row)) = self.store.get(CATALOG_KEY, Urgency::Normal)
+                && let Some(catalog) = from_value::<Catalog>(&row.data)
+            {
+                log::info!("catalog read from its copy");
+                self.set_catalog(&catalog);
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(fastrand::u64(400..800)));
+        }
+    }
+
+    pub fn fleet_loop(&self) {
+        let mut last_catalog: Option<Moment> = None;
+        let mut saved_term = 0;
+        loop {
+            std::thread::sleep(STEP);
+            let now = self.now();
+            let (list_due, term) = {
+                let mut core = self.core();
+                let Some((lead, cluster)) = core.acting(now) else {
+                    continue;
+                };
+                let due = cluster
+                    .fleet
+                    .last_list
+                    .is_none_or(|t| now - t >= LIST_EVERY);
+                (due, lead.term)
+            };
+            let catalog_due = last_catalog.is_none_or(|t| now - t > CATALOG_EVERY);
+            if (catalog_due || saved_term != term)
+                && let Some(catalog) = self.fetch_catalog()
+            {
+                last_catalog = Some(now);
+                self.set_catalog(&catalog);
+                if saved_term != term && self.save_catalog(&catalog) {
+                    saved_term = term;
+                }
+            }
+            if list_due {
+                self.list_machines();
+            }
+            self.rent();
+            self.return_machines();
+        }
+    }
+
+    /// Keeps a copy, so that a restarted node can take submissions while the cloud is down.
+    fn save_catalog(&self, catalog: &Catalog) -> bool {
+        let Some(guard) = self.core().lead.as_ref().map(|l| l.guard()) else {
+            return false;
+        };
+        let change = Change::write(CATALOG_KEY, to_value(catalog));
+        self.store.multi(&[guard], &[change], Urgency::Lazy).is_ok()
+    }
+
+    fn list_machines(&self) {
+        let mut list = Vec::new();
+        let mut since = String::new();
+        loop {
+            let after = if since.is_empty() {
+                String::new()
+            } else {
+                format!("since={since}&")
+            };
+            let path = format!("/rentals?{after}most={LIST_PAGE}");
+            let Some((200, body)) = self.cloud_call("GET", &path, &[]) else {
+                return;
+            };
+            let page: MachineList = match decode(&body) {
+                Ok(page) => page,
+                Err(e) => {
+                    log::info!("malformed machine list: {e}");
+                    return;
+                }
+            };
+            let last = page.hosts.last().map(|h| h.name.clone());
+            list.extend(page.hosts);
+            match last {
+                Some(last) if page.more => since = last,
+                _ => break,
+            }
+        }
+        let now = self.now();
+        if let Some((_, cluster)) = self.core().acting(now) {
+            cluster.listed(&list, now);
+        }
+    }
+
+    fn rent(&self) {
+        let now = self.now();
+        let hires = {
+            let mut core = self.core();
+            let Some((_, cluster)) = core.acting(now) else {
+                return;
+            };
+            cluster.plan_rentals(now);
+            cluster.fleet.hires.clone()
+        };
+        for hire in hires {
+            let now = self.now();
+            if self.core().acting(now).is_none() {
+                return;
+            }
+            log::info!(
+                "renting {} {} in {} (spot {}) as {}",
+                hire.count,
+                hire.type_name,
+                hire.offer.zone,
+                hire.offer.spot,
+                hire.name
+            );
+            let body = encode(&RentRequest {
+                hire: &hire.name,
+                build: &hire.type_name,
+                yard: &hire.offer.zone,
+                loaners: hire.offer.spot,
+                count: hire.count,
+            });
+            let result = match self.cloud_call("POST", "/rentals", &body) {
+                Some((200, body)) => match decode::<Names>(&body) {
+                    Ok(names) => HireResult::Rented(names.hosts),
+                    Err(e) => {
+                        log::info!("malformed rental: {e}");
+                        HireResult::Unknown
+                    }
+                },
+                Some((503, body)) if no_capacity(&body) => HireResult::NoCapacity,
+                Some((400, _)) => {
+                    log::error!("the cloud calls rental {} malformed", hire.name);
+                    HireResult::NoCapacity
+                }
+                _ => HireResult::Unknown,
+            };
+            let failed = matches!(result, HireResult::Unknown);
+            let now = self.now();
+            if let Some((_, cluster)) = self.core().acting(now) {
+                cluster.hired(&hire.name, result, now);
+            }
+            if failed {
+                std::thread::sleep(Duration::from_millis(500));
+                return;
+            }
+        }
+    }
+
+    fn return_machines(&self) {
+        let now = self.now();
+        let names = {
+            let mut core = self.core();
+            let Some((_, cluster)) = core.acting(now) else {
+                return;
+            };
+            cluster.plan_returns(now)
+        };
+        if names.is_empty() {
+            return;
+        }
+        let body = encode(&Names { hosts: names });
+        let Some((200, _)) = self.cloud_call("POST", "/rentals/return", &body) else {
+            return;
+        };
+        let names = decode::<Names>(&body).map(|n| n.hosts).unwrap_or_default();
+        if let Some(cluster) = &mut self.core().cluster {
+            cluster.returned(&names);
+        }
+    }
+}
+
+fn no_capacity(body: &[u8]) -> bool {
+    #[derive(serde::Deserialize)]
+    struct Problem {
+        error: String,
+    }
+    decode::<Problem>(body).is_ok_and(|p| p.error == "no capacity")
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,363 @@
+//! The fleet: which machines are wanted, rented and returned.
+
+mod edge;
+pub mod wire;
+
+use crate::cluster::Cluster;
+use crate::placement::Room;
+use crate::time::{Micros, Moment};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use wire::ListedMachine;
+
+/// One machine type of the cloud's catalog.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MachineType {
+    pub name: String,
+    pub room: Room,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    pub price: f64,
+    pub spot_price: f64,
+    pub boot: Micros,
+    pub zones: Vec<String>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListStatus {
+    Starting,
+    Running,
+    Failed,
+    #[serde(other)]
+    Other,
+}
+
+/// A kind of machine that can be asked for: type, zone, spot.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Offer {
+    pub type_index: usize,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// A rental request. The same name always carries the same request, and is never used again.
+#[derive(Clone, Debug)]
+pub struct Hire {
+    pub name: String,
+    pub offer: Offer,
+    pub type_name: String,
+    pub count: u32,
+}
+
+#[derive(Debug)]
+pub enum HireResult {
+    Rented(Vec<String>),
+    NoCapacity,
+    /// May have been executed: the same request is repeated.
+    Unknown,
+}
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    pub catalog: Vec<MachineType>,
+    /// Rentals without an answer yet.
+    pub hires: Vec<Hire>,
+    hire_count: u32,
+    no_room: HashMap<Offer, Moment>,
+    /// Names of machines that are gone for good; late reports and lists still name them.
+    gone: VecDeque<String>,
+    /// A list was read under this term: before, nobody knows what is rented already.
+    pub listed: bool,
+    pub last_list: Option<Moment>,
+}
+
+/// How long a refused kind of machine isn't asked for again.
+const NO_ROOM_PAUSE: Micros = Micros::from_secs(10);
+const MAX_HIRE: u32 = 50;
+const MAX_RETURN: usize = 100;
+const GONE_KEPT: usize = 2000;
+
+impl Fleet {
+    pub fn is_gone(&self, name: &str) -> bool {
+        self.gone.iter().any(|g| g == name)
+    }
+
+    fn type_of(&self, name: &str) -> Option<&MachineType> {
+        self.catalog.iter().find(|t| t.name == name)
+    }
+
+    pub fn room_of(&self, type_name: &str) -> Room {
+        self.type_of(type_name).map(|t| t.room).unwrap_or_default()
+    }
+
+    pub fn cache_of(&self, type_name: &str) -> f64 {
+        self.type_of(type_name).map_or(0.0, |t| t.cache_gb)
+    }
+
+    pub fn fetch_rate(&self, type_name: &str) -> f64 {
+        self.type_of(type_name)
+            .map_or(1.0, |t| t.fetch_gb_per_s)
+            .max(0.01)
+    }
+
+    /// Offers in order of what one CPU costs (or, for machines without, one machine).
+    fn offers(&self) -> Vec<(Offer, f64)> {
+        let mut offers = Vec::new();
+        for (type_index, t) in self.catalog.iter().enumerate() {
+            for zone in &t.zones {
+                for spot in [true, false] {
+                    let price = if spot { t.spot_price } else { t.price };
+                    let offer = Offer {
+                        type_index,
+                        zone: zone.clone(),
+                        spot,
+                    };
+                    offers.push((offer, price));
+                }
+            }
+        }
+        offers
+    }
+}
+
+impl Cluster {
+    /// Adds the rentals that waiting work needs beyond what is there and on its way.
+    pub fn plan_rentals(&mut self, now: Moment) {
+        if !self.fleet.listed || !self.fleet.hires.is_empty() {
+            return;
+        }
+        let wanted = self.wanted_offers(now);
+        for (offer, count) in wanted {
+            let mut left = count;
+            while left > 0 {
+                let n = left.min(MAX_HIRE);
+                left -= n;
+                self.fleet.hire_count += 1;
+                let name = format!("r-{}-{}", self.term, self.fleet.hire_count);
+                let type_name = self.fleet.catalog[offer.type_index].name.clone();
+                self.fleet.hires.push(Hire {
+                    name,
+                    offer: offer.clone(),
+                    type_name,
+                    count: n,
+                });
+            }
+        }
+    }
+
+    /// Packs the waiting tasks on free and booting machines; what is left asks for new ones.
+    fn wanted_offers(&self, now: Moment) -> BTreeMap<Offer, u32> {
+        struct Bin {
+            type_index: Option<usize>,
+            zone: String,
+            spot: bool,
+            room: Room,
+        }
+        let index_of = |name: &str| self.fleet.catalog.iter().position(|t| t.name == name);
+        let mut bins: Vec<Bin> = self
+            .machines
+            .values()
+            .filter(|m| !m.returning && !m.faulty && !m.recalled && !m.lost)
+            .filter(|m| m.list_status != Some(ListStatus::Failed))
+            .map(|m| Bin {
+                type_index: index_of(&m.type_name),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                room: if m.last_report.is_none() {
+                    self.fleet.room_of(&m.type_name)
+                } else {
+                    self.free_room(m)
+                },
+            })
+            .collect();
+        let offers = self.fleet.offers();
+        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        let mut team_room = self.team_room();
+        for (_, id) in self.order(now) {
+            let Some(job) = self.jobs.table.get(&id) else {
+                continue;
+            };
+            let Some(team) = job.team else { continue };
+            let need = job.spec.need;
+            for _ in 0..job.ready() {
+                if !need.fits(team_room[team]) {
+                    break;
+                }
+                let allowed = |type_index: Option<usize>, zone: &str, spot: bool| {
+                    type_index
+                        .is_some_and(|t| job.spec.allows(&self.fleet.catalog[t].name, zone, spot))
+                };
+                let bin = bins
+                    .iter_mut()
+                    .find(|b| need.fits(b.room) && allowed(b.type_index, &b.zone, b.spot));
+                if let Some(bin) = bin {
+                    bin.room = bin.room.minus(need);
+                    team_room[team] = team_room[team].minus(need);
+                    continue;
+                }
+                let best = offers
+                    .iter()
+                    .filter(|(o, _)| allowed(Some(o.type_index), &o.zone, o.spot))
+                    .filter(|(o, _)| need.fits(self.fleet.catalog[o.type_index].room))
+                    .filter(|(o, _)| self.fleet.no_room.get(o).is_none_or(|t| *t <= now))
+                    .min_by(|(a, pa), (b, pb)| {
+                        let cost = |o: &Offer, price: f64| {
+                            let room = self.fleet.catalog[o.type_index].room;
+                            price / f64::from(room.times(need).max(1))
+                        };
+                        cost(a, *pa).total_cmp(&cost(b, *pb))
+                    });
+                let Some((offer, _)) = best else { break };
+                *wanted.entry(offer.clone()).or_insert(0) += 1;
+                bins.push(Bin {
+                    type_index: Some(offer.type_index),
+                    zone: offer.zone.clone(),
+                    spot: offer.spot,
+                    room: self.fleet.catalog[offer.type_index].room.minus(need),
+                });
+                team_room[team] = team_room[team].minus(need);
+            }
+        }
+        wanted
+    }
+
+    /// Settles a rental's answer.
+    pub fn hired(&mut self, name: &str, result: HireResult, now: Moment) {
+        let Some(at) = self.fleet.hires.iter().position(|h| h.name == name) else {
+            return;
+        };
+        match result {
+            HireResult::Unknown => {}
+            HireResult::NoCapacity => {
+                let hire = self.fleet.hires.remove(at);
+                self.fleet.no_room.insert(hire.offer, now + NO_ROOM_PAUSE);
+            }
+            HireResult::Rented(names) => {
+                let hire = self.fleet.hires.remove(at);
+                if names.len() < hire.count as usize {
+                    self.fleet
+                        .no_room
+                        .insert(hire.offer.clone(), now + NO_ROOM_PAUSE);
+                }
+                for machine in names {
+                    if self.fleet.is_gone(&machine) || self.machines.contains_key(&machine) {
+                        continue;
+                    }
+                    let mut m = crate::workers::Machine::new(
+                        &machine,
+                        &hire.type_name,
+                        &hire.offer.zone,
+                        hire.offer.spot,
+                        self.fleet.room_of(&hire.type_name),
+                        now,
+                    );
+                    m.list_status = Some(ListStatus::Starting);
+                    m.last_listed = Some(now);
+                    self.machines.insert(machine, m);
+                }
+            }
+        }
+    }
+
+    /// Takes in a whole machine list.
+    pub fn listed(&mut self, list: &[ListedMachine], now: Moment) {
+        self.fleet.listed = true;
+        self.fleet.last_list = Some(now);
+        for l in list {
+            if self.fleet.is_gone(&l.name) {
+                continue;
+            }
+            let total = self.fleet.room_of(&l.type_name);
+            let started = self.started;
+            let m = self.machines.entry(l.name.clone()).or_insert_with(|| {
+                let mut m = crate::workers::Machine::new(
+                    &l.name,
+                    &l.type_name,
+                    &l.zone,
+                    l.spot,
+                    total,
+                    now,
+                );
+                m.lease_from = started;
+                m.known_since = Moment(now.0.saturating_sub((l.held_s.0 * 1e6) as u64));
+                m
+            });
+            m.list_status = Some(l.status);
+            m.last_listed = Some(now);
+            if l.status == ListStatus::Failed && !m.lost {
+                // It stopped by itself, and everything on it with it.
+                log::info!("machine {}: failed", l.name);
+                m.lost = true;
+                m.returning = true;
+                self.end_session(&l.name);
+            }
+        }
+        self.forget_vanished(now);
+    }
+
+    /// Machines whose lease is over and that lists stopped naming long ago are gone.
+    fn forget_vanished(&mut self, now: Moment) {
+        let lag = self.config.list_lag.scaled(3.0) + Micros::from_secs(10);
+        let gone: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| m.lost || m.last_report.is_none())
+            .filter(|m| now - m.last_listed.unwrap_or(m.known_since) > lag)
+            .filter(|m| now - m.lease_from >= self.lease_span())
+            .map(|m| m.name.clone())
+            .collect();
+        for name in gone {
+            self.end_session(&name);
+            self.machines.remove(&name);
+        }
+    }
+
+    /// Chooses machines to return, and names those whose return is due now.
+    pub fn plan_returns(&mut self, now: Moment) -> Vec<String> {
+        let idle_time = self.config.idle;
+        let lease = self.lease_span();
+        let boots: HashMap<String, Micros> = self
+            .fleet
+            .catalog
+            .iter()
+            .map(|t| (t.name.clone(), t.boot))
+            .collect();
+        for m in self.machines.values_mut() {
+            if m.returning {
+                continue;
+            }
+            let idle = m.idle_since.is_some_and(|t| now - t > idle_time) && !m.busy();
+            let boot = boots.get(&m.type_name).copied().unwrap_or(idle_time);
+            let never_up = m.last_report.is_none()
+                && !m.lost
+                && now - m.known_since > boot.scaled(4.0) + Micros::from_secs(10);
+            let silent = m.lost && m.last_report.is_some_and(|t| now - t > lease.scaled(1.5));
+            let faulty = m.faulty && !m.busy();
+            if (idle && m.counted_in) || never_up || silent || faulty {
+                log::info!(
+                    "machine {}: to be returned (idle {idle}, never up {never_up}, silent {silent}, faulty {faulty})",
+                    m.name
+                );
+                m.returning = true;
+            }
+        }
+        self.machines
+            .values()
+            .filter(|m| m.returning && (!m.busy() || m.lost))
+            .map(|m| m.name.clone())
+            .take(MAX_RETURN)
+            .collect()
+    }
+
+    /// The cloud said that these machines, and everything on them, are gone.
+    pub fn returned(&mut self, names: &[String]) {
+        for name in names {
+            self.end_session(name);
+            self.machines.remove(name);
+            self.fleet.gone.push_back(name.clone());
+        }
+        while self.fleet.gone.len() > GONE_KEPT {
+            self.fleet.gone.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/src/http/cbor.rs
@@ -0,0 +1,60 @@
+//! CBOR bodies. Outside data is bounded in depth, and numbers are taken in either form.
+
+use serde::de::{DeserializeOwned, Deserializer, Visitor};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Nesting deeper than this is refused: threads have small stacks.
+const MAX_DEPTH: usize = 16;
+
+#[derive(Debug, thiserror::Error)]
+#[error("not valid CBOR for this message: {0}")]
+pub struct CborError(String);
+
+/// Decodes one value that fills the whole of `bytes`.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CborError> {
+    let mut rest = bytes;
+    let value = ciborium::de::from_reader_with_recursion_limit(&mut rest, MAX_DEPTH)
+        .map_err(|e| CborError(e.to_string()))?;
+    if !rest.is_empty() {
+        return Err(CborError("bytes after the end".into()));
+    }
+    Ok(value)
+}
+
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut out = Vec::with_capacity(128);
+    // Writing to memory cannot fail, and our own messages have no unserialisable parts.
+    if let Err(e) = ciborium::into_writer(value, &mut out) {
+        log::error!("encoding a message failed: {e}");
+        out.clear();
+    }
+    out
+}
+
+/// A decimal amount; integers are accepted in its place.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Decimal(pub f64);
+
+impl<'de> Deserialize<'de> for Decimal {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        struct V;
+        impl Visitor<'_> for V {
+            type Value = Decimal;
+            fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+                f.write_str("a number")
+            }
+            fn visit_f64<E>(self, v: f64) -> Result<Decimal, E> {
+                Ok(Decimal(v))
+            }
+            fn visit_u64<E>(self, v: u64) -> Result<Decimal, E> {
+                Ok(Decimal(v as f64))
+            }
+            fn visit_i64<E>(self, v: i64) -> Result<Decimal, E> {
+                Ok(Decimal(v as f64))
+            }
+        }
+        d.deserialize_any(V)
+    }
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,10 @@
+//! HTTP/1.1 with CBOR bodies: a blocking server and a blocking client on httparse.
+
+pub mod cbor;
+pub mod client;
+pub mod server;
+
+/// The largest request body that is taken, and the largest answer given to workers and users.
+pub const MAX_BODY: usize = 64 * 1024;
+/// The largest request or response head.
+pub const MAX_HEAD: usize = 8 * 1024;
--- /dev/null
+++ b/src/jobs/users.rs
@@ -0,0 +1,308 @@
+//! What users ask: submit, status, withdraw and `/up`.
+
+use super::spec::{Refusal, Submission, is_ref};
+use super::{DoneRecord, FinalRecord, JobView, ViewState, done_key, final_key, job_key};
+use crate::http::cbor::{decode, encode};
+use crate::http::server::Response;
+use crate::leadership::peer::{PeerReply, PeerRequest};
+use crate::node::Node;
+use crate::state_store::{Change, Commit, Guard, StoreError, Urgency, from_value, to_value};
+use serde::{Deserialize, Serialize};
+use std::time::{Duration, Instant};
+
+/// What could be found out about a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lookup {
+    Job(JobView),
+    /// Surely never accepted up to now.
+    Absent,
+    /// Nobody who knows could be reached.
+    Undecided,
+}
+
+#[derive(Serialize)]
+struct Answer<'a> {
+    #[serde(rename = "ref")]
+    id: &'a str,
+    status: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    done: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    running: Option<u32>,
+}
+
+fn short(status: u16, id: &str, state: ViewState) -> Response {
+    Response::new(
+        status,
+        encode(&Answer {
+            id,
+            status: state.name(),
+            done: None,
+            running: None,
+        }),
+    )
+}
+
+#[derive(Serialize)]
+struct Problem {
+    error: String,
+}
+
+fn problem(status: u16, error: String) -> Response {
+    Response::new(status, encode(&Problem { error }))
+}
+
+/// When a user who was refused should come back, in seconds.
+const RETRY_S: u32 = 1;
+const PEER_TIME: Duration = Duration::from_millis(500);
+/// A withdrawal is answered once it is recorded, or else refused after this.
+const WITHDRAW_TIME: Duration = Duration::from_millis(2000);
+
+impl Node {
+    /// Any node that knows the machine types can take requests, leader or not.
+    pub fn up(&self) -> Response {
+        if self.catalog().is_some() {
+            Response::new(200, Vec::new())
+        } else {
+            Response::busy(RETRY_S)
+        }
+    }
+
+    pub fn submit(&self, body: &[u8]) -> Response {
+        let submission = match Submission::decode(body) {
+            Ok(s) => s,
+            Err(refusal) => return self.refuse(ref_of(body).as_deref(), refusal),
+        };
+        let id = submission.id.clone();
+        if let Some(view) = self.view_here(&id) {
+            return short(200, &id, view.state);
+        }
+        let Some(catalog) = self.catalog() else {
+            return Response::busy(RETRY_S);
+        };
+        let site = &self.settings.settings;
+        if let Err(refusal) = submission.possible(&site.teams, &catalog, &site.zones) {
+            return self.refuse(Some(&id), refusal);
+        }
+        self.accept(submission)
+    }
+
+    /// A ref that is accepted already never gets a refusal, whatever body comes again.
+    fn refuse(&self, id: Option<&str>, refusal: Refusal) -> Response {
+        let found = id.map_or(Lookup::Absent, |id| self.lookup(id));
+        match (found, id) {
+            (Lookup::Job(view), Some(id)) => short(200, id, view.state),
+            (Lookup::Undecided, _) => Response::busy(RETRY_S),
+            _ => {
+                let status = match refusal {
+                    Refusal::Malformed(_) => 400,
+                    Refusal::Impossible(_) => 422,
+                };
+                problem(status, refusal.to_string())
+            }
+        }
+    }
+
+    /// Records the job; it is accepted once that is answered.
+    fn accept(&self, mut submission: Submission) -> Response {
+        let now = self.now();
+        let granted = self
+            .submit_tokens
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .take(1.0, now);
+        if !granted {
+            return Response::busy(RETRY_S);
+        }
+        let id = submission.id.clone();
+        let wall = self.clock.wall();
+        submission.accepted_us = wall.0;
+        let guards = [Guard::new(job_key(&id), 0), Guard::new(final_key(&id), 0)];
+        let changes = [Change::write(job_key(&id), to_value(&submission))];
+        match self.store.multi(&guards, &changes, Urgency::Normal) {
+            Ok(Commit::Done { epoch }) => {
+                let now = self.now();
+                let mut core = self.core();
+                if core.finals.get(&id).is_none()
+                    && let Some((lead, cluster)) = core.acting(now)
+                {
+                    let held = epoch <= lead.stamp;
+                    cluster.add_job(&submission, epoch, held, now, wall);
+                    cluster.place(now);
+                }
+                short(201, &id, ViewState::Queued)
+            }
+            Ok(Commit::Conflict { .. }) => match self.lookup(&id) {
+                Lookup::Job(view) => short(200, &id, view.state),
+                _ => Response::busy(RETRY_S),
+            },
+            Err(e) => {
+                log::debug!("{id} not accepted: {e}");
+                Response::busy(RETRY_S)
+            }
+        }
+    }
+
+    pub fn status(&self, id: &str) -> Response {
+        if !is_ref(id) {
+            return Response::new(404, Vec::new());
+        }
+        match self.lookup(id) {
+            Lookup::Job(view) => Response::new(
+                200,
+                encode(&Answer {
+                    id,
+                    status: view.state.name(),
+                    done: Some(view.done),
+                    running: Some(view.running),
+                }),
+            ),
+            Lookup::Absent => Response::new(404, Vec::new()),
+            Lookup::Undecided => Response::busy(RETRY_S),
+        }
+    }
+
+    pub fn withdraw(&self, id: &str) -> Response {
+        if !is_ref(id) {
+            return Response::new(404, Vec::new());
+        }
+        let mut reply = self.withdraw_here(id);
+        if reply == PeerReply::NotLeading {
+            reply = self
+                .ask_leader(
+                    &PeerRequest::Withdraw { id: id.to_string() },
+                    WITHDRAW_TIME + PEER_TIME,
+                )
+                .unwrap_or(PeerReply::Busy);
+        }
+        match reply {
+            PeerReply::Job(view) if view.is_final() => {
+                self.core().finals.note(id, view);
+                short(200, id, view.state)
+            }
+            PeerReply::Unknown => match self.read_job(id) {
+                Ok(Some(view)) if view.is_final() => short(200, id, view.state),
+                Ok(None) => Response::new(404, Vec::new()),
+                _ => Response::busy(RETRY_S),
+            },
+            _ => Response::busy(RETRY_S),
+        }
+    }
+
+    /// Cancels a job if this node leads, and waits for the record for a bounded time.
+    pub fn withdraw_here(&self, id: &str) -> PeerReply {
+        let deadline = Instant::now() + WITHDRAW_TIME;
+        let mut core = self.core();
+        if let Some(view) = core.finals.get(id) {
+            return PeerReply::Job(view);
+        }
+        let now = self.now();
+        let Some((_, cluster)) = core.acting(now) else {
+            return PeerReply::NotLeading;
+        };
+        if !cluster.ask_cancel(id) {
+            return PeerReply::Unknown;
+        }
+        self.changed.notify_all();
+        loop {
+            if let Some(view) = core.finals.get(id) {
+                return PeerReply::Job(view);
+            }
+            let now = self.now();
+            match core.acting(now).map(|(_, c)| c.view(id)) {
+                Some(Some(view)) if view.is_final() => return PeerReply::Job(view),
+                Some(Some(_)) => {}
+                _ => return PeerReply::Busy,
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return PeerReply::Busy;
+            }
+            core = self
+                .changed
+                .wait_timeout(core, left)
+                .unwrap_or_else(|e| e.into_inner())
+                .0;
+        }
+    }
+
+    /// What this node may tell by itself.
+    fn view_here(&self, id: &str) -> Option<JobView> {
+        let now = self.now();
+        let mut core = self.core();
+        core.finals
+            .get(id)
+            .or_else(|| core.acting(now).and_then(|(_, c)| c.view(id)))
+    }
+
+    fn ask_leader(&self, request: &PeerRequest, timeout: Duration) -> Option<PeerReply> {
+        let leader = self.core().known_leader.as_ref()?.node.clone();
+        match self.peers.get(&leader)?.call(request, timeout) {
+            Ok(reply) => Some(reply),
+            Err(e) => {
+                log::debug!("leader {leader} not reached: {e}");
+                None
+            }
+        }
+    }
+
+    pub fn lookup(&self, id: &str) -> Lookup {
+        if let Some(view) = self.view_here(id) {
+            return Lookup::Job(view);
+        }
+        let request = PeerRequest::Status { id: id.to_string() };
+        if let Some(PeerReply::Job(view)) = self.ask_leader(&request, PEER_TIME) {
+            self.core().finals.note(id, view);
+            return Lookup::Job(view);
+        }
+        match self.read_job(id) {
+            Ok(Some(view)) => {
+                self.core().finals.note(id, view);
+                Lookup::Job(view)
+            }
+            Ok(None) => Lookup::Absent,
+            Err(e) => {
+                log::debug!("{id} can't be looked up: {e}");
+                Lookup::Undecided
+            }
+        }
+    }
+
+    /// What the state service knows. The order matters: a job's record is deleted in the same
+    /// transaction that writes its final one, so whoever misses the first finds the second.
+    fn read_job(&self, id: &str) -> Result<Option<JobView>, StoreError> {
+        if let Some(row) = self.store.get(&job_key(id), Urgency::Normal)? {
+            let tasks = from_value::<Submission>(&row.data).map_or(0, |s| s.pieces as u32);
+            if let Some(done) = self.store.get(&done_key(id, 0), Urgency::Normal)? {
+                let record: DoneRecord = from_value(&done.data).unwrap_or_default();
+                if let Some(outcome) = record.state {
+                    return Ok(Some(JobView::of_final(outcome, tasks)));
+                }
+            }
+            if self.store.get(&job_key(id), Urgency::Normal)?.is_some() {
+                return Ok(Some(JobView {
+                    state: ViewState::Queued,
+                    done: 0,
+                    running: 0,
+                }));
+            }
+        }
+        let Some(row) = self.store.get(&final_key(id), Urgency::Normal)? else {
+            return Ok(None);
+        };
+        let record: FinalRecord = from_value(&row.data)
+            .ok_or_else(|| StoreError::Unknown("malformed final record".into()))?;
+        Ok(Some(JobView::of_final(record.state, record.tasks)))
+    }
+}
+
+/// The ref of a body that is otherwise refused.
+fn ref_of(body: &[u8]) -> Option<String> {
+    #[derive(Deserialize)]
+    struct OnlyRef {
+        #[serde(rename = "ref")]
+        id: String,
+    }
+    let found: OnlyRef = decode(body).ok()?;
+    is_ref(&found.id).then_some(found.id)
+}
--- /dev/null
+++ b/src/leadership/edge.rs
@@ -0,0 +1,316 @@
+//! The loop that takes and keeps the lead.
+
+use super::{LEADER_KEY, Lead, LeaderRecord, Take, hold_until, take};
+use crate::cluster::Cluster;
+use crate::jobs::DoneRecord;
+use crate::jobs::spec::Submission;
+use crate::node::Node;
+use crate::state_store::{StoreError, Urgency, from_value};
+use crate::time::{Micros, Moment};
+use std::time::Duration;
+
+const PAGE: usize = 100;
+
+fn pause(low_ms: u64, high_ms: u64) {
+    std::thread::sleep(Duration::from_millis(fastrand::u64(low_ms..=high_ms)));
+}
+
+impl Node {
+    fn hold_life(&self) -> Micros {
+        Micros::from_millis(self.options.hold_ms)
+    }
+
+    pub fn lead_loop(&self) {
+        loop {
+            match self.store.get(LEADER_KEY, Urgency::Lead) {
+                Ok(Some(row)) => self.follow(row.data, row.stamp),
+                Ok(None) => {
+                    self.core().known_leader = None;
+                    pause(10, 150);
+                    match take(
+                        &self.store,
+                        &self.clock,
+                        &self.settings.node,
+                        self.hold_life(),
+                    ) {
+                        Ok(Take::Taken(lead)) => self.lead(lead),
+                        Ok(Take::Lost) => {}
+                        Err(e) => {
+                            log::debug!("lead not taken: {e}");
+                            pause(200, 500);
+                        }
+                    }
+                }
+                Err(e) => {
+                    log::debug!("leader unknown: {e}");
+                    pause(200, 500);
+                }
+            }
+        }
+    }
+
+    /// Waits while somebody else leads.
+    fn follow(&self, data: ciborium::Value, stamp: u64) {
+        let record: Option<LeaderRecord> = from_value(&data);
+        if let Some(r) = &record
+            && r.node == self.settings.node
+        {
+            // An earlier process of this node: it is dead, so its hold may end now.
+            log::info!("ending the hold of an earlier process");
+            if self.store.end_hold(r.permit).is_err() {
+                pause(100, 300);
+            }
+            return;
+        }
+        {
+            let mut core = self.core();
+            if core.known_leader != record {
+                log::info!(
+                    "leader is {}",
+                    record.as_ref().map_or("unknown", |r| r.node.as_str())
+                );
+            }
+            core.known_leader = record;
+        }
+        let mut since = stamp;
+        loop {
+            match self.store.changes(LEADER_KEY, since, Micros::from_secs(10)) {
+                Ok(changes) if changes.log.is_empty() => since = changes.epoch.max(since),
+                Ok(_) => return,
+                Err(StoreError::TooOld) => return,
+                Err(e) => {
+                    log::debug!("watch on the leader: {e}");
+                    pause(200, 500);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn lead(&self, lead: Lead) {
+        log::info!("leading term {}", lead.term);
+        let started = self.now();
+        let permit = lead.permit;
+        {
+            let mut core = self.core();
+            core.known_leader = Some(LeaderRecord {
+                node: self.settings.node.clone(),
+                term: lead.term,
+                permit,
+            });
+            core.lead = Some(lead.clone());
+            core.cluster = None;
+            core.step_down = false;
+        }
+        let mut renewed = started;
+        let mut cluster = self.load(&lead, started, &mut renewed);
+        if let Some(cluster) = cluster.take() {
+            log::info!("term {}: {} jobs read", lead.term, cluster.jobs.table.len());
+            self.core().cluster = Some(cluster);
+            self.changed.notify_all();
+            self.keep(permit, &mut renewed);
+        }
+        {
+            let mut core = self.core();
+            core.lead = None;
+            core.cluster = None;
+            core.known_leader = None;
+            core.step_down = false;
+        }
+        self.changed.notify_all();
+        log::info!("term {} is over", lead.term);
+        let _ = self.store.end_hold(permit);
+        pause(300, 600);
+    }
+
+    /// Renews once if it is time; false when the lead is lost.
+    fn renew_if_due(&self, permit: u64, renewed: &mut Moment) -> bool {
+        let life = self.hold_life();
+        let sent = self.now();
+        if sent - *renewed < life.scaled(0.25) {
+            return true;
+        }
+        match self.store.renew_hold(permit, Duration::from_millis(1000)) {
+            Ok(()) => {
+                *renewed = sent;
+                if let Some(lead) = &mut self.core().lead {
+                    lead.valid_until = hold_until(sent, life);
+                }
+                true
+            }
+            Err(StoreError::NoHold) => false,
+            Err(e) => {
+                // An outage, or a refusal of this node alone: nobody can tell which. The node
+                // stops acting when the hold could have run out, and goes on if it did not.
+                log::debug!("hold not renewed: {e}");
+                pause(150, 300);
+                true
+            }
+        }
+    }
+
+    fn keep(&self, permit: u64, renewed: &mut Moment) {
+        let wait = self.hold_life().scaled(0.25).duration();
+        loop {
+            if !self.renew_if_due(permit, renewed) || self.core().step_down {
+                return;
+            }
+            let core = self.core();
+            if self.now() - *renewed < Micros::from_millis(100) && !core.step_down {
+                drop(core);
+                std::thread::sleep(wait.min(Duration::from_millis(500)));
+            } else {
+                drop(core);
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        }
+    }
+
+    /// Reads what the state service holds; None when the lead was lost meanwhile.
+    fn load(&self, lead: &Lead, started: Moment, renewed: &mut Moment) -> Option<Cluster> {
+        let seed = fastrand::u64(..);
+        let mut cluster = Cluster::new(self.cluster_config(), lead.term, started, seed);
+        if let Some(catalog) = self.catalog() {
+            cluster.fleet.catalog = catalog.to_vec();
+        }
+        let mut jobs_epoch = None;
+        for prefix in ["jobs/", "done/"] {
+            let mut since: Option<String> = None;
+            loop {
+                if !self.renew_if_due(lead.permit, renewed) {
+                    return None;
+                }
+                let page = match self
+                    .store
+                    .range(prefix, since.as_deref(), PAGE, Urgency::Lead)
+                {
+                    Ok(page) => page,
+                    Err(e) => {
+                        log::debug!("reading {prefix}: {e}");
+                        pause(100, 300);
+                        continue;
+                    }
+                };
+                jobs_epoch.get_or_insert(page.epoch);
+                let (now, wall) = (self.now(), self.clock.wall());
+                for row in &page.rows {
+                    since = Some(row.key.clone());
+                    let rest = &row.key[prefix.len()..];
+                    if prefix == "jobs/" {
+                        let Some(s) = from_value::<Submission>(&row.data) else {
+                            log::error!("malformed record {}", row.key);
+                            continue;
+                        };
+                        cluster.add_job(&s, row.stamp, row.stamp <= lead.stamp, now, wall);
+                    } else if let Some((id, chunk)) = rest.split_once('/')
+                        && let Ok(chunk) = chunk.parse()
+                    {
+                        match from_value::<DoneRecord>(&row.data) {
+                            Some(record) => cluster.load_done(id, chunk, &record, row.stamp),
+                            None => log::error!("malformed record {}", row.key),
+                        }
+                    }
+                }
+                if !page.more {
+                    break;
+                }
+            }
+        }
+        self.core().jobs_epoch = jobs_epoch.unwrap_or(lead.stamp);
+        Some(cluster)
+    }
+
+    /// Watches for jobs that other nodes accept.
+    pub fn jobs_loop(&self) {
+        loop {
+            let (term, since) = {
+                let core = self.core();
+                match (&core.lead, &core.cluster) {
+                    (Some(lead), Some(_)) => (lead.term, core.jobs_epoch),
+                    _ => {
+                        let _unused = self
+                            .changed
+                            .wait_timeout(core, Duration::from_millis(500))
+                            .unwrap_or_else(|e| e.into_inner());
+                        continue;
+                    }
+                }
+            };
+            match self.store.changes("jobs/", since, Micros::from_secs(10)) {
+                Ok(changes) => {
+                    let (now, wall) = (self.now(), self.clock.wall());
+                    let mut core = self.core();
+                    let core = &mut *core;
+                    let (Some(lead), Some(cluster)) = (&core.lead, &mut core.cluster) else {
+                        continue;
+                    };
+                    if lead.term != term {
+                        continue;
+                    }
+                    core.jobs_epoch = changes.epoch.max(since);
+                    for event in &changes.log {
+                        let (Some(_), Some(data)) = (&event.write, &event.data) else {
+                            continue;
+                        };
+                        let Some(s) = from_value::<Submission>(data) else {
+                            log::error!("malformed job in the watch");
+                            continue;
+                        };
+                        // A job that is retired already must not come back by a late event.
+                        if core.finals.get(&s.id).is_none() {
+                            let held = event.stamp <= lead.stamp;
+                            cluster.add_job(&s, event.stamp, held, now, wall);
+                        }
+                    }
+                    if cluster.dirty && now < lead.valid_until {
+                        cluster.place(now);
+                    }
+                }
+                Err(StoreError::TooOld) => {
+                    log::info!("the watch on jobs is too old: reading again");
+                    self.reread_jobs(term);
+                }
+                Err(e) => {
+                    log::debug!("watch on jobs: {e}");
+                    pause(200, 500);
+                }
+            }
+        }
+    }
+
+    fn reread_jobs(&self, term: u64) {
+        let mut since: Option<String> = None;
+        let mut epoch = None;
+        loop {
+            let Ok(page) = self
+                .store
+                .range("jobs/", since.as_deref(), PAGE, Urgency::Normal)
+            else {
+                pause(200, 500);
+                return;
+            };
+            epoch.get_or_insert(page.epoch);
+            let (now, wall) = (self.now(), self.clock.wall());
+            let mut core = self.core();
+            let core = &mut *core;
+            let (Some(lead), Some(cluster)) = (&core.lead, &mut core.cluster) else {
+                return;
+            };
+            if lead.term != term {
+                return;
+            }
+            for row in &page.rows {
+                since = Some(row.key.clone());
+                if let Some(s) = from_value::<Submission>(&row.data)
+                    && core.finals.get(&s.id).is_none()
+                {
+                    cluster.add_job(&s, row.stamp, row.stamp <= lead.stamp, now, wall);
+                }
+            }
+            if !page.more {
+                core.jobs_epoch = epoch.unwrap_or(core.jobs_epoch);
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/leadership/peer.rs
@@ -0,0 +1,121 @@
+//! What the controllers say to each other: borsh in length-prefixed frames over TCP.
+
+use crate::jobs::JobView;
+use borsh::{BorshDeserialize, BorshSerialize};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+const MAX_FRAME: u32 = 64 * 1024;
+const MAX_PEER_CONNECTIONS: usize = 48;
+
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum PeerRequest {
+    /// What the leader knows of a job.
+    Status { id: String },
+    /// Cancel a job, and say how it ended.
+    Withdraw { id: String },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum PeerReply {
+    Job(JobView),
+    /// The leader holds no such job: it is over, new, or was never accepted.
+    Unknown,
+    NotLeading,
+    /// It can't be decided now.
+    Busy,
+}
+
+pub fn write_frame<T: BorshSerialize>(stream: &mut TcpStream, message: &T) -> std::io::Result<()> {
+    let body = borsh::to_vec(message)?;
+    let mut out = (body.len() as u32).to_le_bytes().to_vec();
+    out.extend_from_slice(&body);
+    stream.write_all(&out)
+}
+
+pub fn read_frame<T: BorshDeserialize>(stream: &mut TcpStream) -> std::io::Result<T> {
+    let mut len = [0u8; 4];
+    stream.read_exact(&mut len)?;
+    let len = u32::from_le_bytes(len);
+    if len > MAX_FRAME {
+        return Err(std::io::Error::other("frame too large"));
+    }
+    let mut body = vec![0u8; len as usize];
+    stream.read_exact(&mut body)?;
+    borsh::from_slice(&body)
+}
+
+/// A client of one peer, with a few kept connections.
+#[derive(Debug)]
+pub struct PeerClient {
+    addr: SocketAddr,
+    kept: Mutex<Vec<TcpStream>>,
+}
+
+impl PeerClient {
+    pub fn new(addr: SocketAddr) -> Self {
+        PeerClient {
+            addr,
+            kept: Mutex::new(Vec::new()),
+        }
+    }
+
+    pub fn call(&self, request: &PeerRequest, timeout: Duration) -> std::io::Result<PeerReply> {
+        let kept = self.kept.lock().unwrap_or_else(|e| e.into_inner()).pop();
+        let mut stream = match kept {
+            Some(s) => s,
+            None => {
+                let s = TcpStream::connect_timeout(&self.addr, timeout)?;
+                let _ = s.set_nodelay(true);
+                s
+            }
+        };
+        stream.set_read_timeout(Some(timeout))?;
+        stream.set_write_timeout(Some(timeout))?;
+        write_frame(&mut stream, request)?;
+        let reply = read_frame(&mut stream)?;
+        let mut kept = self.kept.lock().unwrap_or_else(|e| e.into_inner());
+        if kept.len() < 3 {
+            kept.push(stream);
+        }
+        Ok(reply)
+    }
+}
+
+/// Answers peers for ever.
+pub fn serve_peers(
+    listener: TcpListener,
+    answer: Arc<dyn Fn(PeerRequest) -> PeerReply + Send + Sync>,
+) {
+    let open = Arc::new(AtomicUsize::new(0));
+    loop {
+        let Ok((mut stream, _)) = listener.accept() else {
+            std::thread::sleep(Duration::from_millis(50));
+            continue;
+        };
+        if open.load(Ordering::Relaxed) >= MAX_PEER_CONNECTIONS {
+            continue;
+        }
+        open.fetch_add(1, Ordering::Relaxed);
+        let (answer, count) = (answer.clone(), open.clone());
+        let spawned = std::thread::Builder::new()
+            .stack_size(crate::http::server::STACK)
+            .spawn(move || {
+                let _ = stream.set_nodelay(true);
+                let _ = stream.set_read_timeout(Some(Duration::from_secs(120)));
+                let _ = stream.set_write_timeout(Some(Duration::from_secs(5)));
+                while let Ok(request) = read_frame::<PeerRequest>(&mut stream) {
+                    if write_frame(&mut stream, &answer(request)).is_err() {
+                        break;
+                    }
+                }
+                count.fetch_sub(1, Ordering::Relaxed);
+            });
+        if spawned.is_err() {
+            open.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! aspenreel: a small cluster scheduler with durable outcomes.
+//!
+//! One controller leads. It takes task outcomes from workers' reports, settles each guarded by
+//! its attempt number, and counts a task as done only once that is recorded in the state service.
+//! `docs/design.md` tells the whole design and where it comes from.
+
+pub mod cli;
+pub mod cluster;
+pub mod fleet;
+pub mod http;
+pub mod jobs;
+pub mod leadership;
+pub mod logging;
+pub mod node;
+pub mod placement;
+pub mod settings;
+pub mod state_store;
+pub mod time;
+pub mod workers;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,36 @@
+use aspenreel::cli::{Cli, Command, ServeOptions};
+use aspenreel::node::Node;
+use aspenreel::settings::Settings;
+use clap::Parser;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+fn main() -> ExitCode {
+    let Command::Serve(options) = Cli::parse().command;
+    match serve(options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("aspenreel: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn serve(options: ServeOptions) -> Result<(), String> {
+    let level = std::env::var("LOG_LEVEL").ok();
+    aspenreel::logging::start(level.as_deref())?;
+    let settings = Settings::load(&options.config).map_err(|e| e.to_string())?;
+    few_arenas();
+    let node = Arc::new(Node::new(settings, options));
+    node.run().map_err(|e| format!("cannot listen: {e}"))
+}
+
+/// One malloc arena for all threads: each further one would cost memory that small
+/// controllers don't have. The only unsafe call of the program.
+#[allow(unsafe_code)]
+fn few_arenas() {
+    // SAFETY: mallopt only sets a parameter of the allocator, before threads are started.
+    unsafe {
+        libc::mallopt(libc::M_ARENA_MAX, 1);
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,247 @@
+//! One controller process: what its threads share, and which threads there are.
+
+use crate::cli::ServeOptions;
+use crate::cluster::{Cluster, ClusterConfig};
+use crate::fleet::MachineType;
+use crate::http::client::Client;
+use crate::http::server::{Handler, Request, Response, serve};
+use crate::jobs::JobView;
+use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest, serve_peers};
+use crate::leadership::{Lead, LeaderRecord};
+use crate::settings::Settings;
+use crate::state_store::Store;
+use crate::state_store::bucket::TokenBucket;
+use crate::time::{Clock, Micros, Moment};
+use std::collections::{HashMap, VecDeque};
+use std::net::TcpListener;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+
+/// Final answers that a node remembers; older ones are read from the state service.
+const FINALS_KEPT: usize = 4000;
+
+/// Final states that were recorded: these never change, so any node may tell them from memory.
+#[derive(Debug, Default)]
+pub struct Finals {
+    views: HashMap<String, JobView>,
+    age: VecDeque<String>,
+}
+
+impl Finals {
+    pub fn get(&self, id: &str) -> Option<JobView> {
+        self.views.get(id).copied()
+    }
+
+    pub fn note(&mut self, id: &str, view: JobView) {
+        if view.is_final() && self.views.insert(id.to_string(), view).is_none() {
+            self.age.push_back(id.to_string());
+            if self.age.len() > FINALS_KEPT
+                && let Some(old) = self.age.pop_front()
+            {
+                self.views.remove(&old);
+            }
+        }
+    }
+}
+
+/// What the main lock guards. Nobody waits for the network while holding it.
+#[derive(Debug, Default)]
+pub struct Core {
+    pub lead: Option<Lead>,
+    /// There only while leading, once the state was read.
+    pub cluster: Option<Cluster>,
+    pub known_leader: Option<LeaderRecord>,
+    pub finals: Finals,
+    /// The lead is to be given up.
+    pub step_down: bool,
+    /// Where the watch on jobs goes on.
+    pub jobs_epoch: u64,
+}
+
+impl Core {
+    /// The cluster, if this node is entitled to act at `now`.
+    pub fn acting(&mut self, now: Moment) -> Option<(&Lead, &mut Cluster)> {
+        match (&self.lead, &mut self.cluster) {
+            (Some(lead), Some(cluster)) if now < lead.valid_until && !self.step_down => {
+                Some((lead, cluster))
+            }
+            _ => None,
+        }
+    }
+}
+
+pub struct Node {
+    pub settings: Settings,
+    pub options: ServeOptions,
+    pub clock: Arc<Clock>,
+    pub store: Store,
+    pub cloud: Client,
+    pub core: Mutex<Core>,
+    /// Signalled when records are due and when they were written.
+    pub changed: Condvar,
+    pub peers: HashMap<String, PeerClient>,
+    pub submit_tokens: Mutex<TokenBucket>,
+    pub cloud_tokens: Mutex<TokenBucket>,
+    pub catalog: Mutex<Option<Arc<Vec<MachineType>>>>,
+}
+
+impl Node {
+    pub fn new(settings: Settings, options: ServeOptions) -> Node {
+        let clock = Arc::new(Clock::default());
+        let now = clock.now();
+        let nodes = settings.members.len() as f64 + 1.0;
+        let site = &settings.settings;
+        // Half of what the round budget leaves is for submissions, shared among the nodes.
+        let submit = site.state.write_rps * (1.0 - options.write_budget as f64 / 100.0) / nodes;
+        let peers = settings
+            .members
+            .iter()
+            .map(|m| (m.node.clone(), PeerClient::new(m.peer_addr)))
+            .collect();
+        Node {
+            // The leader reads and writes most; the shares still stay below the limit together.
+            store: Store::new(
+                settings.endpoints.state,
+                site.state.rps / nodes,
+                clock.clone(),
+            ),
+            cloud: Client::new(settings.endpoints.cloud),
+            core: Mutex::new(Core::default()),
+            changed: Condvar::new(),
+            peers,
+            submit_tokens: Mutex::new(TokenBucket::new(submit, submit, now)),
+            cloud_tokens: Mutex::new(TokenBucket::new(site.cloud.rps * 0.9, site.cloud.rps, now)),
+            catalog: Mutex::new(None),
+            clock,
+            settings,
+            options,
+        }
+    }
+
+    pub fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    pub fn catalog(&self) -> Option<Arc<Vec<MachineType>>> {
+        self.catalog
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .clone()
+    }
+
+    pub fn cluster_config(&self) -> ClusterConfig {
+        let site = &self.settings.settings;
+        ClusterConfig {
+            teams: site.teams.clone(),
+            lease: site.workers.lease(),
+            report: site.workers.report(),
+            list_lag: Micros::from_secs_f64(site.cloud.list_lag_s),
+            sample: self.options.sample as usize,
+            idle: Micros::from_millis(self.options.idle_ms),
+        }
+    }
+
+    /// Starts every thread and answers users and workers until the process is killed.
+    pub fn run(self: Arc<Self>) -> std::io::Result<()> {
+        let public = TcpListener::bind(self.settings.public_addr)?;
+        let peers = TcpListener::bind(self.settings.peer_listen)?;
+        log::info!(
+            "{} serves {} and peers on {}",
+            self.settings.node,
+            self.settings.public_addr,
+            self.settings.peer_listen
+        );
+        let spawn = |name: &str, work: Box<dyn FnOnce() + Send>| {
+            std::thread::Builder::new()
+                .name(name.to_string())
+                .stack_size(512 * 1024)
+                .spawn(work)
+                .map(drop)
+        };
+        let node = self.clone();
+        spawn("catalog", Box::new(move || node.catalog_loop()))?;
+        let node = self.clone();
+        spawn("lead", Box::new(move || node.lead_loop()))?;
+        let node = self.clone();
+        spawn("rounds", Box::new(move || node.rounds_loop()))?;
+        let node = self.clone();
+        spawn("jobs", Box::new(move || node.jobs_loop()))?;
+        let node = self.clone();
+        spawn("fleet", Box::new(move || node.fleet_loop()))?;
+        let node = self.clone();
+        spawn("tick", Box::new(move || node.tick_loop()))?;
+        let node = self.clone();
+        spawn(
+            "peers",
+            Box::new(move || serve_peers(peers, Arc::new(move |r| node.answer_peer(r)))),
+        )?;
+        // The rest is kept for the calls that this node makes itself.
+        let cap = (self.settings.settings.quota.sockets / 2).clamp(16, 400);
+        let clock = self.clock.clone();
+        serve(public, self, clock, cap);
+        Ok(())
+    }
+
+    fn tick_loop(&self) {
+        loop {
+            std::thread::sleep(std::time::Duration::from_millis(250));
+            let now = self.now();
+            let mut core = self.core();
+            if let Some((_, cluster)) = core.acting(now) {
+                cluster.tick(now);
+                if std::mem::take(&mut cluster.urgent_rounds) {
+                    self.changed.notify_all();
+                }
+            }
+        }
+    }
+
+    fn answer_peer(&self, request: PeerRequest) -> PeerReply {
+        match request {
+            PeerRequest::Status { id } => {
+                let now = self.now();
+                let mut core = self.core();
+                if let Some(view) = core.finals.get(&id) {
+                    return PeerReply::Job(view);
+                }
+                match core.acting(now) {
+                    Some((_, cluster)) => {
+                        cluster.view(&id).map_or(PeerReply::Unknown, PeerReply::Job)
+                    }
+                    None => PeerReply::NotLeading,
+                }
+            }
+            PeerRequest::Withdraw { id } => self.withdraw_here(&id),
+        }
+    }
+}
+
+impl Handler for Node {
+    fn handle(&self, request: Request) -> Response {
+        let path = request.path.split('?').next().unwrap_or("");
+        let method = request.method.as_str();
+        let only = |wanted: &str, answer: &dyn Fn() -> Response| {
+            if method == wanted {
+                answer()
+            } else {
+                Response::new(405, Vec::new())
+            }
+        };
+        match path {
+            "/checkin" => only("POST", &|| self.check_in(&request.body)),
+            "/up" => only("GET", &|| self.up()),
+            "/work" => only("POST", &|| self.submit(&request.body)),
+            _ => match path.strip_prefix("/work/") {
+                Some(rest) => match rest.split_once('/') {
+                    None => only("GET", &|| self.status(rest)),
+                    Some((id, "withdraw")) => only("POST", &|| self.withdraw(id)),
+                    Some(_) => Response::new(404, Vec::new()),
+                },
+                None => Response::new(404, Vec::new()),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,492 @@
+//! Placement: which waiting task goes where, and what may be stopped for it.
+
+use crate::cluster::Cluster;
+use crate::jobs::spec::{JobSpec, Rank};
+use crate::jobs::{Job, JobId};
+use crate::time::{Micros, Moment};
+use crate::workers::wire::TaskStatus;
+use crate::workers::{Attempt, Machine, Wanted};
+use std::collections::{BTreeMap, HashMap};
+
+/// Resources in whole thousandths, so that sums are exact.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Room {
+    pub cpu: i64,
+    pub gpu: i64,
+    pub ram: i64,
+}
+
+impl Room {
+    /// What a task takes: rounded up.
+    pub fn need(cpus: f64, gpus: f64, ram_gb: f64) -> Room {
+        let up = |x: f64| (x * 1000.0 - 1e-6).ceil() as i64;
+        Room {
+            cpu: up(cpus),
+            gpu: up(gpus),
+            ram: up(ram_gb),
+        }
+    }
+
+    /// What a machine or a limit has: rounded down.
+    pub fn have(cpus: f64, gpus: f64, ram_gb: f64) -> Room {
+        let down = |x: f64| (x * 1000.0 + 1e-6).floor() as i64;
+        Room {
+            cpu: down(cpus),
+            gpu: down(gpus),
+            ram: down(ram_gb),
+        }
+    }
+
+    pub fn fits(self, room: Room) -> bool {
+        self.cpu <= room.cpu && self.gpu <= room.gpu && self.ram <= room.ram
+    }
+
+    pub fn plus(self, o: Room) -> Room {
+        Room {
+            cpu: self.cpu + o.cpu,
+            gpu: self.gpu + o.gpu,
+            ram: self.ram + o.ram,
+        }
+    }
+
+    pub fn minus(self, o: Room) -> Room {
+        Room {
+            cpu: self.cpu - o.cpu,
+            gpu: self.gpu - o.gpu,
+            ram: self.ram - o.ram,
+        }
+    }
+
+    pub fn by(self, n: i64) -> Room {
+        Room {
+            cpu: self.cpu * n,
+            gpu: self.gpu * n,
+            ram: self.ram * n,
+        }
+    }
+
+    /// How many tasks of this need the room holds.
+    pub fn times(self, need: Room) -> u32 {
+        let one = |have: i64, need: i64| if need <= 0 { i64::MAX } else { have / need };
+        one(self.cpu, need.cpu)
+            .min(one(self.gpu, need.gpu))
+            .min(one(self.ram, need.ram))
+            .clamp(0, 10_000) as u32
+    }
+}
+
+impl JobSpec {
+    /// Whether its tasks may run on such a machine at all.
+    pub fn allows(&self, type_name: &str, zone: &str, spot: bool) -> bool {
+        (self.spot || !spot)
+            && self.zone.as_ref().is_none_or(|z| z == zone)
+            && self
+                .types
+                .as_ref()
+                .is_none_or(|t| t.iter().any(|t| t == type_name))
+    }
+}
+
+/// Sorts waiting jobs: smaller goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Priority {
+    beyond_guarantee: bool,
+    rank: std::cmp::Reverse<Rank>,
+    latest_start: Moment,
+    accepted: Moment,
+}
+
+/// A machine as one pass sees it.
+struct Place {
+    name: String,
+    free: Room,
+    /// Free room once what is being stopped has left, less what waits for it.
+    promised: Room,
+}
+
+impl Cluster {
+    /// What is left on a machine beside everything that may be on it.
+    pub fn free_room(&self, m: &Machine) -> Room {
+        if m.ghosts.iter().any(|g| !g.exited) {
+            // Nobody knows what a job without a record takes.
+            return Room::default();
+        }
+        let mut free = m.total;
+        for (key, attempt) in &m.attempts {
+            if attempt.holds()
+                && let Some(job) = self.jobs.table.get(&key.0)
+            {
+                free = free.minus(job.spec.need);
+            }
+        }
+        free
+    }
+
+    /// What each team's tasks take, counting what unseen machines may still run.
+    fn team_use(&self) -> Vec<Room> {
+        let mut used = vec![Room::default(); self.config.teams.len()];
+        for job in self.jobs.table.values() {
+            let Some(team) = job.team else { continue };
+            let mut tasks: i64 = job.bound.values().map(|n| i64::from(*n)).sum();
+            if job.held {
+                tasks += i64::from(job.unbound());
+            }
+            used[team] = used[team].plus(job.spec.need.by(tasks));
+        }
+        used
+    }
+
+    /// What each team may still add. Memory isn't limited.
+    pub fn team_room(&self) -> Vec<Room> {
+        self.team_use()
+            .iter()
+            .zip(&self.config.teams)
+            .map(|(used, t)| {
+                let mut room = Room::have(t.cpus_max, t.gpus_max, 0.0).minus(*used);
+                room.ram = i64::MAX / 4;
+                room
+            })
+            .collect()
+    }
+
+    /// Jobs with waiting tasks, the most urgent first.
+    pub fn order(&self, now: Moment) -> Vec<(Priority, JobId)> {
+        let mut by_age: Vec<(&JobId, &Job)> = self
+            .jobs
+            .table
+            .iter()
+            .filter(|(_, j)| j.outcome.is_none() && !j.cancel_asked && !j.complete())
+            .collect();
+        by_age.sort_by_key(|(id, j)| (j.accepted_at, **id));
+        let mut claimed = vec![Room::default(); self.config.teams.len()];
+        let mut order = Vec::new();
+        for (id, job) in by_age {
+            let Some(team) = job.team else { continue };
+            claimed[team] = claimed[team].plus(job.spec.need.by(i64::from(job.remaining())));
+            let settings = &self.config.teams[team];
+            let guarantee = Room::have(settings.cpus, settings.gpus, 0.0);
+            let within = claimed[team].cpu <= guarantee.cpu && claimed[team].gpu <= guarantee.gpu;
+            if job.ready() == 0 || job.retry_at > now {
+                continue;
+            }
+            let far = Micros::from_secs(3600);
+            let latest_start = job.due_at().unwrap_or(job.accepted_at + far);
+            let latest_start = Moment(latest_start.0.saturating_sub(job.spec.estimate.0));
+            order.push((
+                Priority {
+                    beyond_guarantee: !within,
+                    rank: std::cmp::Reverse(job.spec.rank),
+                    latest_start,
+                    accepted: job.accepted_at,
+                },
+                *id,
+            ));
+        }
+        order.sort();
+        order
+    }
+
+    fn usable(&self, m: &Machine, now: Moment) -> bool {
+        let fresh = m
+            .last_report
+            .is_some_and(|t| now - t < self.config.report.scaled(2.0));
+        m.counted_in && !m.lost && !m.returning && !m.faulty && !m.recalled && fresh
+    }
+
+    /// One pass: binds waiting tasks to machines and marks what must make room.
+    pub fn place(&mut self, now: Moment) {
+        self.dirty = false;
+        let order = self.order(now);
+        if order.is_empty() {
+            return;
+        }
+        let mut places: Vec<Place> = self
+            .machines
+            .values()
+            .filter(|m| self.usable(m, now))
+            .map(|m| {
+                let free = self.free_room(m);
+                let stopping = m
+                    .attempts
+                    .iter()
+                    .filter(|(_, a)| a.holds() && a.wanted != Wanted::Run)
+                    .filter_map(|(k, _)| self.jobs.table.get(&k.0))
+                    .fold(Room::default(), |sum, j| sum.plus(j.spec.need));
+                Place {
+                    name: m.name.clone(),
+                    free,
+                    promised: free.plus(stopping),
+                }
+            })
+            .collect();
+        let mut team_room = self.team_room();
+        for (priority, id) in order {
+            self.place_job(priority, id, &mut places, &mut team_room, now);
+        }
+    }
+
+    fn place_job(
+        &mut self,
+        priority: Priority,
+        id: JobId,
+        places: &mut [Place],
+        team_room: &mut [Room],
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.table.get(&id) else {
+            return;
+        };
+        let Some(team) = job.team else { return };
+        let (need, ready) = (job.spec.need, job.ready());
+        let mut zones = self.zones_of(id);
+        let mut waiting = 0u32;
+        for _ in 0..ready {
+            if !need.fits(team_room[team]) {
+                return;
+            }
+            let Some(at) = self.choose(id, places, &zones) else {
+                waiting = ready;
+                break;
+            };
+            let Some(job) = self.jobs.table.get_mut(&id) else {
+                return;
+            };
+            let Some(task) = job.next_ready() else { return };
+            let place = &mut places[at];
+            let Some(machine) = self.machines.get_mut(&place.name) else {
+                return;
+            };
+            self.counter += 1;
+            let number = (self.term << 32) | u64::from(self.counter);
+            machine.attempts.insert(
+                (id, task, number),
+                Attempt {
+                    wanted: Wanted::Run,
+                    status: None,
+                    sent: None,
+                    stop_sent: None,
+                    placed_at: now,
+                    running_since: None,
+                    bound: true,
+                    done: false,
+                },
+            );
+            machine.idle_since = None;
+            let cache_gb = self
+                .fleet
+                .catalog
+                .iter()
+                .find(|t| t.name == machine.type_name)
+                .map_or(0.0, |t| t.cache_gb);
+            machine.note_image(&job.spec.image, job.spec.image_gb, false, cache_gb, now);
+            job.bind(task);
+            *zones.entry(machine.zone.clone()).or_insert(0) += 1;
+            place.free = place.free.minus(need);
+            place.promised = place.promised.minus(need);
+            team_room[team] = team_room[team].minus(need);
+        }
+        if waiting > 0 {
+            let left = self.jobs.table.get(&id).map_or(0, |j| j.ready());
+            self.make_room(priority, id, left, places, team_room[team], now);
+        }
+    }
+
+    /// Tasks of the job by zone, done ones included where it is known.
+    fn zones_of(&self, id: JobId) -> BTreeMap<String, u32> {
+        let mut zones = BTreeMap::new();
+        let Some(job) = self.jobs.table.get(&id) else {
+            return zones;
+        };
+        if !job.spec.one_zone && !job.spec.spread {
+            return zones;
+        }
+        for m in self.machines.values() {
+            let here = m
+                .attempts
+                .range((id, 0, 0)..=(id, u32::MAX, u64::MAX))
+                .filter(|(_, a)| a.holds())
+                .count() as u32;
+            if here > 0 {
+                *zones.entry(m.zone.clone()).or_insert(0) += here;
+            }
+        }
+        zones
+    }
+
+    fn zone_allowed(job: &Job, zone: &str, zones: &BTreeMap<String, u32>) -> bool {
+        if job.spec.one_zone && zones.keys().any(|z| z != zone) {
+            return false;
+        }
+        let most = job.spec.tasks.div_ceil(2);
+        !job.spec.spread || zones.get(zone).copied().unwrap_or(0) < most
+    }
+
+    /// The best fit among a few drawn, or among all if none of them fits.
+    fn choose(
+        &mut self,
+        id: JobId,
+        places: &[Place],
+        zones: &BTreeMap<String, u32>,
+    ) -> Option<usize> {
+        let roomy: Vec<usize> = (0..places.len())
+            .filter(|i| places[*i].free.cpu > 0)
+            .collect();
+        if roomy.is_empty() {
+            return None;
+        }
+        let mut best: Option<(f64, usize)> = None;
+        for _ in 0..self.config.sample {
+            let at = roomy[self.rng.usize(0..roomy.len())];
+            if let Some(score) = self.score(id, &places[at], zones)
+                && best.is_none_or(|(b, _)| score < b)
+            {
+                best = Some((score, at));
+            }
+        }
+        if best.is_none() {
+            for at in roomy {
+                if let Some(score) = self.score(id, &places[at], zones)
+                    && best.is_none_or(|(b, _)| score < b)
+                {
+                    best = Some((score, at));
+                }
+            }
+        }
+        best.map(|(_, at)| at)
+    }
+
+    /// Lower is better; None if the task doesn't fit there.
+    fn score(&self, id: JobId, place: &Place, zones: &BTreeMap<String, u32>) -> Option<f64> {
+        let job = self.jobs.table.get(&id)?;
+        let need = job.spec.need;
+        if !need.fits(place.free) || !need.fits(place.promised) {
+            return None;
+        }
+        let m = self.machines.get(&place.name)?;
+        if !job.spec.allows(&m.type_name, &m.zone, m.spot)
+            || !Self::zone_allowed(job, &m.zone, zones)
+        {
+            return None;
+        }
+        let rate = self.fleet.fetch_rate(&m.type_name);
+        let fetch = match m.images.get(&job.spec.image) {
+            Some(i) if i.cached => 0.0,
+            Some(i) => i.gb / rate * 0.5,
+            None => {
+                let queued: f64 = m.images.values().filter(|i| !i.cached).map(|i| i.gb).sum();
+                (job.spec.image_gb + queued) / rate
+            }
+        };
+        let left = (place.free.cpu - need.cpu) as f64 / m.total.cpu.max(1) as f64;
+        let failed = if job.failed_on.contains(&m.name) {
+            1000.0
+        } else {
+            0.0
+        };
+        Some(fetch + 3.0 * left + failed)
+    }
+
+    /// Stops lower work, or work that others borrowed, where that makes room for waiting tasks.
+    fn make_room(
+        &mut self,
+        priority: Priority,
+        id: JobId,
+        waiting: u32,
+        places: &mut [Place],
+        team_room: Room,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.table.get(&id) else {
+            return;
+        };
+        let Some(team) = job.team else { return };
+        let (need, rank) = (job.spec.need, job.spec.rank);
+        let mut left = waiting.min(team_room.times(need));
+        let zones = self.zones_of(id);
+        let mut over: HashMap<usize, i64> = HashMap::new();
+        for (t, used) in self.team_use().iter().enumerate() {
+            let guarantee = Room::have(self.config.teams[t].cpus, 0.0, 0.0);
+            over.insert(t, used.cpu - guarantee.cpu);
+        }
+        for place in places.iter_mut() {
+            if left == 0 {
+                return;
+            }
+            let Some(job) = self.jobs.table.get(&id) else {
+                return;
+            };
+            let Some(m) = self.machines.get(&place.name) else {
+                continue;
+            };
+            if !job.spec.allows(&m.type_name, &m.zone, m.spot)
+                || !Self::zone_allowed(job, &m.zone, &zones)
+            {
+                continue;
+            }
+            // Room that is being made already is waited for, not made twice.
+            while left > 0 && need.fits(place.promised) {
+                place.promised = place.promised.minus(need);
+                left -= 1;
+            }
+            if left == 0 {
+                return;
+            }
+            let mut victims: Vec<(u64, crate::workers::AttemptKey, Room, usize, bool)> = m
+                .attempts
+                .iter()
+                .filter(|(_, a)| a.holds() && a.wanted == Wanted::Run)
+                .filter(|(_, a)| a.status != Some(TaskStatus::Flushing))
+                .filter_map(|(k, a)| {
+                    let v = self.jobs.table.get(&k.0)?;
+                    let v_team = v.team?;
+                    let lower = v.spec.rank < rank;
+                    let borrowed = !priority.beyond_guarantee
+                        && v_team != team
+                        && over.get(&v_team).is_some_and(|o| *o >= v.spec.need.cpu);
+                    let lost = (now - a.running_since.unwrap_or(now)).0;
+                    (lower || borrowed).then_some((lost, *k, v.spec.need, v_team, lower))
+                })
+                .collect();
+            victims.sort_by_key(|v| v.0);
+            let mut stop = Vec::new();
+            for (_, key, room, v_team, lower) in victims {
+                if left == 0 {
+                    break;
+                }
+                if !lower && over.get(&v_team).is_none_or(|o| *o < room.cpu) {
+                    continue;
+                }
+                over.entry(v_team).and_modify(|o| *o -= room.cpu);
+                place.promised = place.promised.plus(room);
+                stop.push(key);
+                while left > 0 && need.fits(place.promised) {
+                    place.promised = place.promised.minus(need);
+                    left -= 1;
+                }
+            }
+            let name = place.name.clone();
+            for key in stop {
+                self.stop_attempt(&name, key);
+            }
+        }
+    }
+
+    /// Wants one attempt gone, with time to save where that keeps something.
+    pub fn stop_attempt(&mut self, machine: &str, key: crate::workers::AttemptKey) {
+        let Some(job) = self.jobs.table.get(&key.0) else {
+            return;
+        };
+        let leeway = if job.spec.checkpoint > Micros::ZERO {
+            job.spec.save + Micros::from_secs(2)
+        } else {
+            Micros::ZERO
+        };
+        if let Some(a) = self
+            .machines
+            .get_mut(machine)
+            .and_then(|m| m.attempts.get_mut(&key))
+        {
+            a.wanted = Wanted::Stop { leeway };
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,192 @@
+//! The platform's settings file: read once, checked whole; unknown fields are ignored.
+
+use crate::time::Micros;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("settings {0}: {1}")]
+    Read(String, std::io::Error),
+    #[error("settings: {0}")]
+    Parse(String),
+    #[error("settings: field `{field}`: {problem}")]
+    Field { field: String, problem: String },
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    pub node: String,
+    pub location: String,
+    pub public_addr: SocketAddr,
+    pub peer_listen: SocketAddr,
+    #[serde(default)]
+    pub members: Vec<Member>,
+    pub endpoints: Endpoints,
+    pub settings: Site,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    pub node: String,
+    pub location: String,
+    pub peer_addr: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Endpoints {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Site {
+    pub zones: Vec<String>,
+    pub skew_ms: f64,
+    pub teams: Vec<TeamSettings>,
+    pub workers: WorkerSettings,
+    pub state: StateSettings,
+    pub cloud: CloudSettings,
+    pub quota: QuotaSettings,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct TeamSettings {
+    pub name: String,
+    pub cpus: f64,
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct WorkerSettings {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+impl WorkerSettings {
+    pub fn report(&self) -> Micros {
+        Micros::from_secs_f64(self.report_s)
+    }
+    pub fn lease(&self) -> Micros {
+        Micros::from_secs_f64(self.lease_s)
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct StateSettings {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct CloudSettings {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct QuotaSettings {
+    pub sockets: usize,
+}
+
+impl Settings {
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| SettingsError::Read(path.display().to_string(), e))?;
+        Settings::parse(&text)
+    }
+
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+        let settings: Settings = toml::from_str(text).map_err(|e| {
+            // One clear line: the message names the field, the span tells where.
+            let line = e
+                .span()
+                .map(|s| text[..s.start.min(text.len())].matches('\n').count() + 1);
+            let message = e.message().replace('\n', " ");
+            SettingsError::Parse(match line {
+                Some(line) => format!("line {line}: {message}"),
+                None => message,
+            })
+        })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let bad = |field: &str, problem: &str| {
+            Err(SettingsError::Field {
+                field: field.into(),
+                problem: problem.into(),
+            })
+        };
+        if self.node.is_empty() {
+            return bad("node", "must not be empty");
+        }
+        if self.members.iter().any(|m| m.node == self.node) {
+            return bad("members", "must not name this node itself");
+        }
+        let s = &self.settings;
+        if s.zones.is_empty() {
+            return bad("settings.zones", "must name at least one zone");
+        }
+        if !(0.0..=3_600_000.0).contains(&s.skew_ms) {
+            return bad("settings.skew_ms", "must be from 0 to 3600000");
+        }
+        let amounts = [
+            ("settings.workers.report_s", s.workers.report_s, 0.1, 600.0),
+            ("settings.workers.lease_s", s.workers.lease_s, 1.0, 86_400.0),
+            (
+                "settings.workers.cancel_s",
+                s.workers.cancel_s,
+                1.0,
+                86_400.0,
+            ),
+            ("settings.state.rps", s.state.rps, 1.0, 1e7),
+            ("settings.state.write_rps", s.state.write_rps, 1.0, 1e7),
+            ("settings.state.value_kb", s.state.value_kb, 4.0, 64.0),
+            ("settings.cloud.rps", s.cloud.rps, 0.1, 1e7),
+            ("settings.cloud.list_lag_s", s.cloud.list_lag_s, 0.0, 3600.0),
+        ];
+        for (field, value, low, high) in amounts {
+            if !(low..=high).contains(&value) {
+                return bad(field, &format!("must be from {low} to {high}, is {value}"));
+            }
+        }
+        if s.workers.lease_s <= s.workers.report_s {
+            return bad("settings.workers.lease_s", "must be longer than report_s");
+        }
+        if s.state.txn_ops < 4 {
+            return bad("settings.state.txn_ops", "must be at least 4");
+        }
+        if s.quota.sockets < 32 {
+            return bad("settings.quota.sockets", "must be at least 32");
+        }
+        let mut names = std::collections::HashSet::new();
+        for team in &s.teams {
+            let field = |f: &str| format!("settings.teams.{}.{f}", team.name);
+            if !names.insert(team.name.as_str()) {
+                return bad(&field("name"), "is there twice");
+            }
+            for (f, low, high) in [
+                ("cpus", team.cpus, team.cpus_max),
+                ("gpus", team.gpus, team.gpus_max),
+            ] {
+                if !(0.0..=1e9).contains(&low) || !(0.0..=1e9).contains(&high) {
+                    return bad(&field(f), "must be from 0 to 1e9");
+                }
+                if low > high {
+                    return bad(&field(f), "must not be above its limit");
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/state_store/mod.rs
@@ -0,0 +1,326 @@
+//! The state service: transactions, holds and watches, behind this node's share of the tokens.
+
+pub mod bucket;
+
+use crate::http::cbor::{decode, encode};
+use crate::http::client::{CallError, Client};
+use crate::time::{Clock, Micros};
+use bucket::TokenBucket;
+use ciborium::Value;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// Surely not executed: refused, out of tokens, or never sent.
+    #[error("state service refused: {0}")]
+    Refused(String),
+    /// May have been executed, or may yet be: read back before deciding anything from it.
+    #[error("state service gave no answer: {0}")]
+    Unknown(String),
+    #[error("the hold has ended")]
+    NoHold,
+    /// A watch that is too old.
+    #[error("the watch is too old")]
+    TooOld,
+}
+
+/// One key's value.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Row {
+    pub key: String,
+    pub data: Value,
+    pub stamp: u64,
+    #[serde(default)]
+    pub permit: Option<u64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Page {
+    pub rows: Vec<Row>,
+    pub more: bool,
+    pub epoch: u64,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Guard {
+    pub key: String,
+    pub stamp: u64,
+}
+
+impl Guard {
+    pub fn new(key: impl Into<String>, stamp: u64) -> Self {
+        Guard {
+            key: key.into(),
+            stamp,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Serialize)]
+#[serde(untagged)]
+pub enum Change {
+    Write {
+        write: String,
+        data: Value,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        permit: Option<u64>,
+    },
+    Delete {
+        delete: String,
+    },
+}
+
+impl Change {
+    pub fn write(key: impl Into<String>, data: Value) -> Self {
+        Change::Write {
+            write: key.into(),
+            data,
+            permit: None,
+        }
+    }
+    pub fn delete(key: impl Into<String>) -> Self {
+        Change::Delete { delete: key.into() }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Commit {
+    Done {
+        epoch: u64,
+    },
+    /// Keys whose guards failed; nothing was changed.
+    Conflict {
+        failed: Vec<String>,
+    },
+}
+
+/// One line of a watch.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Event {
+    #[serde(default)]
+    pub write: Option<String>,
+    #[serde(default)]
+    pub delete: Option<String>,
+    #[serde(default)]
+    pub data: Option<Value>,
+    pub stamp: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Changes {
+    pub epoch: u64,
+    pub log: Vec<Event>,
+}
+
+/// Who asks decides how far the bucket may be emptied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// Renewing the hold and taking the lead never wait behind anything.
+    Lead,
+    Normal,
+    /// Leaves half of the tokens to the others.
+    Lazy,
+}
+
+pub struct Store {
+    client: Client,
+    clock: Arc<Clock>,
+    requests: Mutex<TokenBucket>,
+}
+
+pub fn to_value<T: Serialize>(value: &T) -> Value {
+    Value::serialized(value).unwrap_or(Value::Null)
+}
+
+pub fn from_value<T: serde::de::DeserializeOwned>(value: &Value) -> Option<T> {
+    value.deserialized().ok()
+}
+
+const CALL_TIME: Duration = Duration::from_millis(1500);
+
+impl Store {
+    /// `rate`: this node's share of the requests a second.
+    pub fn new(addr: SocketAddr, rate: f64, clock: Arc<Clock>) -> Self {
+        let bucket = TokenBucket::new(rate, rate, clock.now());
+        Store {
+            client: Client::new(addr),
+            clock,
+            requests: Mutex::new(bucket),
+        }
+    }
+
+    fn bucket(&self) -> std::sync::MutexGuard<'_, TokenBucket> {
+        self.requests.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        urgency: Urgency,
+        timeout: Duration,
+    ) -> Result<(u16, Vec<u8>), StoreError> {
+        let now = self.clock.now();
+        {
+            let mut bucket = self.bucket();
+            let granted = match urgency {
+                Urgency::Lead => {
+                    bucket.force(1.0, now);
+                    true
+                }
+                Urgency::Normal => bucket.take(1.0, now),
+                Urgency::Lazy => bucket.available(now) >= 5.0 && bucket.take(1.0, now),
+            };
+            if !granted {
+                return Err(StoreError::Refused("out of tokens".into()));
+            }
+        }
+        let (status, answer) =
+            self.client
+                .call(method, path, body, timeout)
+                .map_err(|e| match e {
+                    CallError::Unsent(e) => StoreError::Refused(e),
+                    CallError::Unknown(e) => StoreError::Unknown(e),
+                })?;
+        match status {
+            429 => {
+                let pause = Micros::from_millis(100 + fastrand::u64(0..100));
+                self.bucket().punish(pause, now);
+                Err(StoreError::Refused("429".into()))
+            }
+            503 => Err(StoreError::Refused("503".into())),
+            _ => Ok((status, answer)),
+        }
+    }
+
+    fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+        decode(body).map_err(|e| StoreError::Unknown(e.to_string()))
+    }
+
+    fn unexpected<T>(status: u16) -> Result<T, StoreError> {
+        Err(StoreError::Unknown(format!("unexpected status {status}")))
+    }
+
+    pub fn get(&self, key: &str, urgency: Urgency) -> Result<Option<Row>, StoreError> {
+        let (status, body) = self.call("GET", &format!("/store/{key}"), &[], urgency, CALL_TIME)?;
+        match status {
+            200 => Ok(Some(Self::parse(&body)?)),
+            404 => Ok(None),
+            s => Self::unexpected(s),
+        }
+    }
+
+    pub fn range(
+        &self,
+        prefix: &str,
+        since: Option<&str>,
+        most: usize,
+        urgency: Urgency,
+    ) -> Result<Page, StoreError> {
+        let since = since.map(|s| format!("&since={s}")).unwrap_or_default();
+        let path = format!("/store?starts={prefix}{since}&most={most}");
+        let (status, body) = self.call("GET", &path, &[], urgency, 2 * CALL_TIME)?;
+        match status {
+            200 => Self::parse(&body),
+            s => Self::unexpected(s),
+        }
+    }
+
+    pub fn multi(
+        &self,
+        guards: &[Guard],
+        apply: &[Change],
+        urgency: Urgency,
+    ) -> Result<Commit, StoreError> {
+        #[derive(Serialize)]
+        struct Body<'a> {
+            guards: &'a [Guard],
+            apply: &'a [Change],
+        }
+        #[derive(Deserialize)]
+        struct Answer {
+            epoch: u64,
+            #[serde(default)]
+            failed: Vec<String>,
+        }
+        #[derive(Deserialize)]
+        struct Problem {
+            #[serde(default)]
+            error: Option<String>,
+        }
+        let body = encode(&Body { guards, apply });
+        let (status, body) = self.call("POST", "/multi", &body, urgency, CALL_TIME)?;
+        match status {
+            200 => Ok(Commit::Done {
+                epoch: Self::parse::<Answer>(&body)?.epoch,
+            }),
+            409 => Ok(Commit::Conflict {
+                failed: Self::parse::<Answer>(&body)?.failed,
+            }),
+            400 => {
+                let error = decode::<Problem>(&body).ok().and_then(|p| p.error);
+                if error.as_deref() == Some("no such lease") {
+                    Err(StoreError::NoHold)
+                } else {
+                    let text = error.unwrap_or_else(|| "malformed".into());
+                    log::error!("state service calls our transaction malformed: {text}");
+                    Err(StoreError::Refused(text))
+                }
+            }
+            s => Self::unexpected(s),
+        }
+    }
+
+    pub fn new_hold(&self, life: Micros) -> Result<u64, StoreError> {
+        #[derive(Serialize)]
+        struct Body {
+            #[serde(rename = "lifeMs")]
+            life_ms: u64,
+        }
+        #[derive(Deserialize)]
+        struct Answer {
+            permit: u64,
+        }
+        let body = encode(&Body {
+            life_ms: life.0 / 1000,
+        });
+        let (status, body) = self.call("POST", "/holds", &body, Urgency::Lead, CALL_TIME)?;
+        match status {
+            200 => Ok(Self::parse::<Answer>(&body)?.permit),
+            s => Self::unexpected(s),
+        }
+    }
+
+    pub fn renew_hold(&self, permit: u64, timeout: Duration) -> Result<(), StoreError> {
+        let path = format!("/holds/{permit}/renew");
+        match self.call("POST", &path, &[], Urgency::Lead, timeout)?.0 {
+            200 => Ok(()),
+            404 => Err(StoreError::NoHold),
+            s => Self::unexpected(s),
+        }
+    }
+
+    pub fn end_hold(&self, permit: u64) -> Result<(), StoreError> {
+        let path = format!("/holds/{permit}");
+        match self.call("DELETE", &path, &[], Urgency::Lead, CALL_TIME)?.0 {
+            200..=299 | 404 => Ok(()),
+            s => Self::unexpected(s),
+        }
+    }
+
+    pub fn changes(&self, prefix: &str, since: u64, hold: Micros) -> Result<Changes, StoreError> {
+        let hold_ms = hold.0 / 1000;
+        let path = format!("/changes?starts={prefix}&since={since}&holdMs={hold_ms}");
+        let timeout = hold.duration() + Duration::from_secs(2);
+        let (status, body) = self.call("GET", &path, &[], Urgency::Normal, timeout)?;
+        match status {
+            200 => Self::parse(&body),
+            410 => Err(StoreError::TooOld),
+            s => Self::unexpected(s),
+        }
+    }
+}
--- /dev/null
+++ b/src/workers/mod.rs
@@ -0,0 +1,473 @@
+//! Workers: their reports, sessions and leases, and the orders that follow from the difference
+//! between what is wanted of a machine and what it reports.
+
+mod edge;
+pub mod wire;
+
+use crate::cluster::Cluster;
+use crate::jobs::JobId;
+use crate::placement::Room;
+use crate::time::{Micros, Moment};
+use std::collections::{BTreeMap, BTreeSet};
+use wire::{Order, Report, TaskStatus, Verb};
+
+/// At most this many orders go into one answer: it must stay below 64 KiB.
+const MAX_ORDERS: usize = 300;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wanted {
+    Run,
+    Stop { leeway: Micros },
+}
+
+/// One attempt of a task on one machine, in one session.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub wanted: Wanted,
+    /// The last report's status; None until a report shows the attempt.
+    pub status: Option<TaskStatus>,
+    /// The (session, tick) of the report in whose answer the start went out last.
+    pub sent: Option<(u64, u64)>,
+    pub stop_sent: Option<Moment>,
+    pub placed_at: Moment,
+    pub running_since: Option<Moment>,
+    /// It may hold its place on the machine, and is counted at its job.
+    pub bound: bool,
+    pub done: bool,
+}
+
+impl Attempt {
+    /// False once it surely no longer holds anything on the machine.
+    pub fn holds(&self) -> bool {
+        self.bound
+    }
+}
+
+pub type AttemptKey = (JobId, u32, u64);
+
+/// An attempt of a job that has no record any more: its job is over.
+#[derive(Clone, Debug)]
+pub struct Ghost {
+    pub piece: String,
+    pub attempt: u64,
+    pub exited: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Image {
+    pub gb: f64,
+    pub used: Moment,
+    pub cached: bool,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub name: String,
+    pub addr: String,
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub total: Room,
+    pub session: u64,
+    pub tick: u64,
+    /// A report carried the current token: no older leader's order can land here any more.
+    pub counted_in: bool,
+    /// Its lease ran out without a report: nothing is on it.
+    pub lost: bool,
+    /// The lease can't have been renewed by anyone after this.
+    pub lease_from: Moment,
+    pub last_report: Option<Moment>,
+    pub recalled: bool,
+    pub attempts: BTreeMap<AttemptKey, Attempt>,
+    pub ghosts: Vec<Ghost>,
+    pub images: BTreeMap<String, Image>,
+    /// Being returned: nothing starts here any more.
+    pub returning: bool,
+    pub faulty: bool,
+    pub error_streak: BTreeSet<JobId>,
+    pub known_since: Moment,
+    pub idle_since: Option<Moment>,
+    pub list_status: Option<crate::fleet::ListStatus>,
+    pub last_listed: Option<Moment>,
+}
+
+impl Machine {
+    pub fn new(
+        name: &str,
+        type_name: &str,
+        zone: &str,
+        spot: bool,
+        total: Room,
+        now: Moment,
+    ) -> Machine {
+        Machine {
+            name: name.to_string(),
+            addr: String::new(),
+            type_name: type_name.to_string(),
+            zone: zone.to_string(),
+            spot,
+            total,
+            session: 0,
+            tick: 0,
+            counted_in: false,
+            lost: false,
+            lease_from: now,
+            last_report: None,
+            recalled: false,
+            attempts: BTreeMap::new(),
+            ghosts: Vec::new(),
+            images: BTreeMap::new(),
+            returning: false,
+            faulty: false,
+            error_streak: BTreeSet::new(),
+            known_since: now,
+            idle_since: None,
+            list_status: None,
+            last_listed: None,
+        }
+    }
+
+    pub fn busy(&self) -> bool {
+        self.attempts.values().any(|a| a.holds()) || self.ghosts.iter().any(|g| !g.exited)
+    }
+
+    /// Marks an image as used; the least recently used ones leave a full cache.
+    pub fn note_image(&mut self, image: &str, gb: f64, cached: bool, cache_gb: f64, now: Moment) {
+        let entry = self.images.entry(image.to_string()).or_insert(Image {
+            gb,
+            used: now,
+            cached: false,
+        });
+        entry.used = now;
+        entry.cached |= cached;
+        while self.images.values().map(|i| i.gb).sum::<f64>() > cache_gb && self.images.len() > 1 {
+            let oldest = self
+                .images
+                .iter()
+                .min_by_key(|(_, i)| i.used)
+                .map(|(n, _)| n.clone());
+            if let Some(oldest) = oldest {
+                self.images.remove(&oldest);
+            }
+        }
+    }
+}
+
+/// What a check-in is answered with.
+#[derive(Debug, PartialEq, Eq)]
+pub enum CheckIn {
+    /// 200 with these orders.
+    Orders(Vec<Order>),
+    /// A late or repeated report: it renews nothing.
+    Stale,
+    /// The worker has seen a higher token than ours.
+    Deposed,
+}
+
+impl Cluster {
+    /// Takes in a report and answers with what the machine is to do.
+    pub fn check_in(&mut self, report: &Report, now: Moment) -> CheckIn {
+        if report.token > self.term {
+            return CheckIn::Deposed;
+        }
+        if self.fleet.is_gone(&report.machine) {
+            return CheckIn::Stale;
+        }
+        if !self.machines.contains_key(&report.machine) {
+            let total = self.fleet.room_of(&report.type_name);
+            let mut machine = Machine::new(
+                &report.machine,
+                &report.type_name,
+                &report.zone,
+                report.spot,
+                total,
+                now,
+            );
+            machine.lease_from = self.started;
+            self.machines.insert(report.machine.clone(), machine);
+        }
+        let Some(machine) = self.machines.get_mut(&report.machine) else {
+            return CheckIn::Stale;
+        };
+        let seen = (machine.session, machine.tick);
+        if (report.session, report.tick) <= seen
+            || (machine.lost && report.session <= machine.session)
+        {
+            // Its task list is as old as the report itself; after an expired lease the session
+            // is over whatever a late report says.
+            return CheckIn::Stale;
+        }
+        if report.session > machine.session && machine.session > 0 {
+            self.end_session(&report.machine);
+        }
+        let Some(machine) = self.machines.get_mut(&report.machine) else {
+            return CheckIn::Stale;
+        };
+        machine.session = report.session;
+        machine.tick = report.tick;
+        machine.lost = false;
+        machine.lease_from = now;
+        if machine.last_report.is_none() {
+            machine.known_since = now;
+        }
+        machine.last_report = Some(now);
+        machine.addr.clone_from(&report.addr);
+        machine.type_name.clone_from(&report.type_name);
+        machine.zone.clone_from(&report.zone);
+        machine.spot = report.spot;
+        machine.total = self.fleet.room_of(&report.type_name);
+        machine.recalled = report.recall.is_some();
+        if !machine.counted_in && report.token == self.term {
+            machine.counted_in = true;
+            self.dirty = true;
+        }
+        self.apply_tasks(report, now);
+        self.release_if_all_seen(now);
+        if self.dirty {
+            self.place(now);
+        }
+        CheckIn::Orders(self.orders(&report.machine, now))
+    }
+
+    fn apply_tasks(&mut self, report: &Report, now: Moment) {
+        let name = &report.machine;
+        let cache_gb = self.fleet.cache_of(&report.type_name);
+        let mut shown = BTreeSet::new();
+        let mut ghosts = Vec::new();
+        for task in &report.tasks {
+            let job_id = task
+                .parts()
+                .and_then(|(id, n)| Some((self.jobs.find(id)?, n)));
+            let Some((job_id, number)) = job_id else {
+                ghosts.push(Ghost {
+                    piece: task.piece.clone(),
+                    attempt: task.attempt,
+                    exited: task.status == TaskStatus::Exited,
+                });
+                continue;
+            };
+            let (Some(job), Some(machine)) = (
+                self.jobs.table.get_mut(&job_id),
+                self.machines.get_mut(name),
+            ) else {
+                continue;
+            };
+            let key = (job_id, number, task.attempt);
+            shown.insert(key);
+            let attempt = machine.attempts.entry(key).or_insert_with(|| {
+                // An earlier leader's attempt, or one of an order thought lost.
+                let bound = task.status != TaskStatus::Exited;
+                if bound {
+                    job.bind(number);
+                }
+                Attempt {
+                    wanted: Wanted::Run,
+                    status: None,
+                    sent: None,
+                    stop_sent: None,
+                    placed_at: now,
+                    running_since: None,
+                    bound,
+                    done: false,
+                }
+            });
+            let was = attempt.status;
+            attempt.status = Some(task.status);
+            if task.status == TaskStatus::Running && attempt.running_since.is_none() {
+                attempt.running_since = Some(now);
+            }
+            let unfinished = task.status != TaskStatus::Exited;
+            if unfinished
+                && (job.outcome.is_some() || job.done.contains(number))
+                && attempt.wanted == Wanted::Run
+            {
+                attempt.wanted = Wanted::Stop {
+                    leeway: Micros::ZERO,
+                };
+            }
+            if !unfinished && was != Some(TaskStatus::Exited) {
+                self.dirty = true;
+                let cause = task.cause.unwrap_or(wire::Cause::Other);
+                attempt.done = cause == wire::Cause::Done;
+                match cause {
+                    wire::Cause::Done => {
+                        // The first settle wins; a later attempt's outcome changes nothing.
+                        if job.done.insert(number) && job.complete() {
+                            self.urgent_rounds = true;
+                        }
+                        job.failed_on.clear();
+                        machine.error_streak.clear();
+                    }
+                    wire::Cause::Error => {
+                        job.note_failure(name, now);
+                        machine.error_streak.insert(job_id);
+                        let suspicious = job.failed_on.len() < 3;
+                        if machine.error_streak.len() >= 2 && suspicious {
+                            machine.faulty = true;
+                        }
+                    }
+                    _ => {}
+                }
+                if std::mem::take(&mut attempt.bound) {
+                    job.unbind(number);
+                }
+            }
+            let (image, gb) = (job.spec.image.clone(), job.spec.image_gb);
+            let cached = task.status == TaskStatus::Running || attempt.done;
+            machine.note_image(&image, gb, cached, cache_gb, now);
+        }
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        machine.ghosts = ghosts;
+        let absent: Vec<AttemptKey> = machine
+            .attempts
+            .keys()
+            .filter(|k| !shown.contains(*k))
+            .copied()
+            .collect();
+        for key in absent {
+            let Some(attempt) = machine.attempts.get(&key) else {
+                continue;
+            };
+            // Orders travel only in answers, and a worker has one report in flight: once it
+            // sends a newer report that doesn't show the start, that start never happens.
+            let never = match (attempt.status, attempt.sent) {
+                (Some(_), _) => true,
+                (None, Some(sent)) => {
+                    sent < (report.session, report.tick) && attempt.wanted != Wanted::Run
+                }
+                (None, None) => attempt.wanted != Wanted::Run,
+            };
+            if never {
+                let holds = attempt.holds();
+                machine.attempts.remove(&key);
+                if holds && let Some(job) = self.jobs.table.get_mut(&key.0) {
+                    job.unbind(key.1);
+                    self.dirty = true;
+                }
+            }
+        }
+        if machine.busy() {
+            machine.idle_since = None;
+        } else {
+            machine.idle_since.get_or_insert(now);
+        }
+    }
+
+    /// Everything the machine had in its session is gone.
+    pub fn end_session(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        machine.ghosts.clear();
+        for (key, attempt) in std::mem::take(&mut machine.attempts) {
+            if attempt.holds()
+                && let Some(job) = self.jobs.table.get_mut(&key.0)
+            {
+                job.unbind(key.1);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Sessions end when nobody can have renewed their lease for its full time.
+    pub fn expire_leases(&mut self, now: Moment) {
+        let span = self.lease_span();
+        let expired: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| !m.lost && now - m.lease_from >= span)
+            .map(|m| m.name.clone())
+            .collect();
+        for name in expired {
+            if let Some(machine) = self.machines.get_mut(&name) {
+                log::info!("machine {name}: lease over");
+                machine.lost = true;
+                machine.idle_since = None;
+            }
+            self.end_session(&name);
+        }
+        self.release_if_all_seen(now);
+    }
+
+    /// The orders for one machine: the difference between wanted and reported.
+    fn orders(&mut self, name: &str, now: Moment) -> Vec<Order> {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return Vec::new();
+        };
+        let mut orders = Vec::new();
+        for ghost in &machine.ghosts {
+            orders.push(Order {
+                verb: if ghost.exited {
+                    Verb::Clear
+                } else {
+                    Verb::Stop
+                },
+                piece: ghost.piece.clone(),
+                attempt: ghost.attempt,
+                leeway_s: (!ghost.exited).then_some(0.0),
+            });
+        }
+        let here = (machine.session, machine.tick);
+        let mut starts = Vec::new();
+        let mut dropped = Vec::new();
+        for (key, attempt) in &mut machine.attempts {
+            let Some(job) = self.jobs.table.get(&key.0) else {
+                continue;
+            };
+            let order = |verb, leeway_s| Order {
+                verb,
+                piece: format!("{}/{}", job.spec.id, key.1),
+                attempt: key.2,
+                leeway_s,
+            };
+            match (attempt.status, attempt.wanted) {
+                (Some(TaskStatus::Exited), _) => {
+                    // The worker's memory is the second copy of an outcome until it is recorded.
+                    if !attempt.done || job.recorded.contains(key.1) || job.outcome.is_some() {
+                        orders.push(order(Verb::Clear, None));
+                    }
+                }
+                (Some(TaskStatus::Flushing), Wanted::Stop { leeway }) => {
+                    let overdue = attempt
+                        .stop_sent
+                        .is_some_and(|t| now - t > leeway + Micros::from_secs(5));
+                    if leeway == Micros::ZERO || overdue {
+                        orders.push(order(Verb::Stop, Some(0.0)));
+                    }
+                }
+                (Some(_), Wanted::Stop { leeway }) => {
+                    attempt.stop_sent.get_or_insert(now);
+                    orders.push(order(Verb::Stop, Some(leeway.as_secs_f64())));
+                }
+                (None, Wanted::Run) => {
+                    if job.cancel_asked || job.outcome.is_some() {
+                        if attempt.sent.is_none() {
+                            dropped.push(*key);
+                        } else {
+                            attempt.wanted = Wanted::Stop {
+                                leeway: Micros::ZERO,
+                            };
+                        }
+                        continue;
+                    }
+                    attempt.sent = Some(here);
+                    starts.push(order(Verb::Run, None));
+                }
+                (None, Wanted::Stop { .. }) if attempt.sent.is_none() => dropped.push(*key),
+                _ => {}
+            }
+        }
+        for key in dropped {
+            machine.attempts.remove(&key);
+            if let Some(job) = self.jobs.table.get_mut(&key.0) {
+                job.unbind(key.1);
+                self.dirty = true;
+            }
+        }
+        orders.extend(starts);
+        orders.truncate(MAX_ORDERS);
+        orders
+    }
+}
