--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -408,8 +408,7 @@
     /// and is not in it, no longer exists. Two lists in a row must agree.
     fn note_unlisted(&mut self, list: &[ListedMachine], asked: Moment) {
         let oldest = self.config.list_lag.scaled(2.0) + Micros::from_secs(3);
-        let named: std::collections::HashSet<&str> =
-            list.iter().map(|l| l.name.as_str()).collect();
+        let named: std::collections::HashSet<&str> = list.iter().map(|l| l.name.as_str()).collect();
         let mut gone = Vec::new();
         let names: Vec<String> = self
             .machines
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -2,12 +2,12 @@
 
 use super::rounds::{Write, WriteKind, pack};
 use super::{DoneRecord, JobView};
+use crate::fleet::FLEET_PREFIX;
 use crate::node::Node;
 use crate::state_store::bucket::TokenBucket;
-use crate::fleet::FLEET_PREFIX;
 use crate::state_store::{Change, Commit, StoreError, Urgency, from_value};
-use ciborium::Value;
 use crate::time::{Micros, Moment};
+use ciborium::Value;
 use std::time::Duration;
 
 /// Final states that complete within this long share a transaction.
@@ -65,8 +65,7 @@
             };
             if !added.is_empty() || !deleted.is_empty() {
                 let at = Value::from(self.clock.wall().0);
-                let write =
-                    |n: &String| Change::write(format!("{FLEET_PREFIX}{n}"), at.clone());
+                let write = |n: &String| Change::write(format!("{FLEET_PREFIX}{n}"), at.clone());
                 let delete = |n: &String| Change::delete(format!("{FLEET_PREFIX}{n}"));
                 let changes: Vec<Change> = added
                     .iter()
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -144,7 +144,10 @@
             let core = self.core();
             let mut zone = None;
             if core.step_down && core.abstain_until > self.now() {
-                zone = core.cluster.as_ref().and_then(|c| c.silent_zone(self.now()));
+                zone = core
+                    .cluster
+                    .as_ref()
+                    .and_then(|c| c.silent_zone(self.now()));
             }
             zone
         };
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -428,10 +428,8 @@
         }
         let mut victims = Vec::new();
         for (at, place) in places.iter_mut().enumerate() {
-            let (Some(job), Some(m)) = (
-                self.jobs.table.get(&id),
-                self.machines.get(&place.name),
-            ) else {
+            let (Some(job), Some(m)) = (self.jobs.table.get(&id), self.machines.get(&place.name))
+            else {
                 continue;
             };
             if !job.spec.allows(&m.type_name, &m.zone, m.spot)
@@ -445,10 +443,7 @@
                 left -= 1;
             }
             for (key, a) in &m.attempts {
-                if !a.holds()
-                    || a.wanted != Wanted::Run
-                    || a.status == Some(TaskStatus::Flushing)
-                {
+                if !a.holds() || a.wanted != Wanted::Run || a.status == Some(TaskStatus::Flushing) {
                     continue;
                 }
                 let Some(v) = self.jobs.table.get(&key.0) else {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -119,14 +119,17 @@
     pub fn parse(text: &str) -> Result<Settings, SettingsError> {
         let settings: Settings = toml::from_str(text).map_err(|e| {
             // One clear line: the message names the field, the span tells where.
-            let line = e
-                .span()
-                .map(|s| text[..s.start.min(text.len())].matches('\n').count() + 1);
             let message = e.message().replace('\n', " ");
-            SettingsError::Parse(match line {
-                Some(line) => format!("line {line}: {message}"),
-                None => message,
-            })
+            let at = e.span().map_or(0, |s| s.start);
+            let line = text.get(..at).unwrap_or("").matches('\n').count();
+            let found: String = text
+                .lines()
+                .nth(line)
+                .unwrap_or("")
+                .chars()
+                .take(80)
+                .collect();
+            SettingsError::Parse(format!("line {}, `{}`: {message}", line + 1, found.trim()))
         })?;
         settings.check()?;
         Ok(settings)
--- /dev/null
+++ b/tests/common/trace.rs
@@ -0,0 +1,336 @@
+//! A small world for traces: events go into a `Cluster`, and what it wants is written down.
+
+use aspenreel::cluster::{Cluster, ClusterConfig};
+use aspenreel::fleet::wire::{Catalog, ListedMachine};
+use aspenreel::http::cbor::{Decimal, decode, encode};
+use aspenreel::jobs::rounds::{Write as RecordWrite, WriteKind};
+use aspenreel::jobs::spec::Submission;
+use aspenreel::settings::TeamSettings;
+use aspenreel::time::{Micros, Moment, WallTime};
+use aspenreel::workers::wire::{Cause, Order, Report, TaskReport, TaskStatus, Verb};
+use aspenreel::workers::{CheckIn, DirectResult};
+use ciborium::cbor;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+pub struct World {
+    pub cluster: Cluster,
+    pub log: String,
+    pub now: Moment,
+    ticks: BTreeMap<String, u64>,
+    epoch: u64,
+}
+
+pub fn team(name: &str, cpus: f64, cpus_max: f64) -> TeamSettings {
+    TeamSettings {
+        name: name.into(),
+        cpus,
+        cpus_max,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    }
+}
+
+pub fn at(seconds: f64) -> Moment {
+    Moment((1_000_000_000 + (seconds * 1e6) as i64) as u64)
+}
+
+pub fn submission(id: &str, edit: impl Fn(&mut Submission)) -> Submission {
+    let wire = cbor!({
+        "ref" => id, "lane" => "train", "crew" => "a", "shape" => "array", "rank" => "normal",
+        "pieces" => 2, "cpus" => 4.0, "gpus" => 0.0, "ramGb" => 1.0, "bundle" => "img",
+        "imageGb" => 1.0, "samePlace" => false, "spread" => false, "loaners" => true,
+        "guessS" => 60.0, "bookmarkS" => 0.0, "stashS" => 0.0
+    })
+    .unwrap();
+    let mut s = Submission::decode(&encode(&wire)).unwrap();
+    edit(&mut s);
+    s
+}
+
+pub fn catalog() -> Catalog {
+    let wire = cbor!({"builds" => [
+        {"label" => "small", "cpus" => 8, "ramGb" => 32, "cacheGb" => 50, "fetchGbPerS" => 1.0,
+         "rate" => 0.4, "lowPrice" => 0.1, "startupS" => 30, "yards" => ["east", "west"]},
+        {"label" => "big", "cpus" => 32, "ramGb" => 128, "cacheGb" => 50, "fetchGbPerS" => 1.0,
+         "rate" => 2.0, "lowPrice" => 0.8, "startupS" => 20, "yards" => ["east"]}
+    ]})
+    .unwrap();
+    decode(&encode(&wire)).unwrap()
+}
+
+/// `run-1/0#5 running`: a task as a worker reports it.
+fn task_report(text: &str) -> TaskReport {
+    let mut words = text.split(' ');
+    let (piece, attempt) = words.next().unwrap().split_once('#').unwrap();
+    let (status, cause) = match words.next().unwrap() {
+        "fetching" => (TaskStatus::Fetching, None),
+        "running" => (TaskStatus::Running, None),
+        "flushing" => (TaskStatus::Flushing, None),
+        "done" => (TaskStatus::Exited, Some(Cause::Done)),
+        "stopped" => (TaskStatus::Exited, Some(Cause::Stopped)),
+        "error" => (TaskStatus::Exited, Some(Cause::Error)),
+        other => panic!("{other}"),
+    };
+    let (term, counter) = attempt.split_once('.').unwrap();
+    let attempt = (term.parse::<u64>().unwrap() << 32) | counter.parse::<u64>().unwrap();
+    TaskReport {
+        piece: piece.into(),
+        attempt,
+        status,
+        cause,
+        stored: None,
+    }
+}
+
+fn show(order: &Order) -> String {
+    let verb = match order.verb {
+        Verb::Run => "run",
+        Verb::Stop => "stop",
+        Verb::Clear => "clear",
+    };
+    let (term, counter) = (order.attempt >> 32, order.attempt & 0xffff_ffff);
+    format!("{verb} {}#{term}.{counter}", order.piece)
+}
+
+impl World {
+    /// A leader of `term` that took over at second 0.
+    pub fn new(term: u64, teams: Vec<TeamSettings>) -> World {
+        let config = ClusterConfig {
+            teams,
+            lease: Micros::from_secs(20),
+            report: Micros::from_secs(3),
+            list_lag: Micros::from_secs(5),
+            sample: 3,
+            idle: Micros::from_secs(30),
+            patience: Micros::ZERO,
+            dear_patience: Micros::from_secs(120),
+            objectives: Vec::new(),
+        };
+        let mut cluster = Cluster::new(config, term, at(0.0), 7);
+        cluster.fleet.catalog = catalog().types();
+        World {
+            cluster,
+            log: String::new(),
+            now: at(0.0),
+            ticks: BTreeMap::new(),
+            epoch: 100,
+        }
+    }
+
+    pub fn note(&mut self, text: &str) {
+        let seconds = (self.now - at(0.0)).as_secs_f64();
+        writeln!(self.log, "{seconds:>6.1}  {text}").unwrap();
+    }
+
+    pub fn at(&mut self, seconds: f64) -> &mut Self {
+        self.now = at(seconds);
+        self
+    }
+
+    pub fn job(&mut self, submission: Submission) -> &mut Self {
+        self.accepted(submission, false)
+    }
+
+    pub fn old_job(&mut self, submission: Submission) -> &mut Self {
+        self.accepted(submission, true)
+    }
+
+    fn accepted(&mut self, s: Submission, held: bool) -> &mut Self {
+        self.epoch += 1;
+        self.cluster
+            .add_job(&s, self.epoch, held, self.now, WallTime(s.accepted_us));
+        let earlier = if held { " under an earlier term" } else { "" };
+        self.note(&format!(
+            "{} accepted{earlier}: {} x {} CPUs, {:?}",
+            s.id, s.pieces, s.cpus.0, s.rank
+        ));
+        self
+    }
+
+    pub fn report(&mut self, machine: &str, token: u64, session: u64, tasks: &[&str]) -> Report {
+        let tick = self.ticks.entry(machine.to_string()).or_insert(0);
+        *tick += 1;
+        // Names tell type and zone: `small-east-1`.
+        let parts: Vec<&str> = machine.split('-').collect();
+        Report {
+            machine: machine.into(),
+            addr: "127.0.0.1:1".into(),
+            type_name: parts[0].into(),
+            zone: parts[1].into(),
+            spot: true,
+            session,
+            tick: *tick,
+            token,
+            recall: None,
+            tasks: tasks.iter().map(|t| task_report(t)).collect(),
+        }
+    }
+
+    pub fn check_in(&mut self, machine: &str, tasks: &[&str]) -> &mut Self {
+        let term = self.cluster.term;
+        let report = self.report(machine, term, 1, tasks);
+        self.send(&report)
+    }
+
+    pub fn send(&mut self, report: &Report) -> &mut Self {
+        // In a trace the fleet's record is written as soon as it is due.
+        let answer = self.cluster.check_in(report, self.now);
+        let text = match answer {
+            CheckIn::Orders(orders) if orders.is_empty() => "nothing to do".to_string(),
+            CheckIn::Orders(orders) => orders.iter().map(show).collect::<Vec<_>>().join(", "),
+            other => format!("{other:?}"),
+        };
+        let tasks: Vec<String> = report
+            .tasks
+            .iter()
+            .map(|t| {
+                let (term, n) = (t.attempt >> 32, t.attempt & 0xffff_ffff);
+                let end = t.cause.map(|c| format!(" {c:?}")).unwrap_or_default();
+                format!("{}#{term}.{n} {:?}{end}", t.piece, t.status)
+            })
+            .collect();
+        self.note(&format!(
+            "{} (session {}, tick {}, token {}) reports [{}] -> {text}",
+            report.machine,
+            report.session,
+            report.tick,
+            report.token,
+            tasks.join(", ")
+        ));
+        self.record_fleet();
+        self
+    }
+
+    pub fn record_fleet(&mut self) {
+        let (added, deleted) = self.cluster.due_fleet_records(100);
+        if !added.is_empty() || !deleted.is_empty() {
+            self.cluster.fleet_recorded(&added, &deleted);
+        }
+    }
+
+    pub fn tick(&mut self, seconds: f64) -> &mut Self {
+        self.now = at(seconds);
+        self.cluster.tick(self.now);
+        self
+    }
+
+    /// Sends one direct call, if there is one, and ends it as told.
+    pub fn direct(&mut self, result: impl FnOnce(&mut World) -> DirectResult) -> &mut Self {
+        let Some(call) = self.cluster.next_direct(self.now) else {
+            self.note("no direct call");
+            return self;
+        };
+        let orders: Vec<String> = call.orders.iter().map(show).collect();
+        let result = result(self);
+        let end = match &result {
+            DirectResult::Report(_) => "answered",
+            DirectResult::Unsent => "not sent",
+            DirectResult::Unknown => "no answer",
+        };
+        self.note(&format!(
+            "direct to {}: {} -> {end}",
+            call.machine,
+            orders.join(", ")
+        ));
+        self.cluster.direct_done(&call, result, self.now);
+        self
+    }
+
+    /// One write round; `commit` says whether the state service took it.
+    pub fn round(&mut self, commit: bool) -> &mut Self {
+        let mut writes: Vec<RecordWrite> = self.cluster.due_finals();
+        writes.extend(self.cluster.due_sets(100));
+        writes.extend(self.cluster.due_retirements(100, 12));
+        let told: Vec<String> = writes
+            .iter()
+            .map(|w| {
+                let id = &self.cluster.jobs.table[&w.job].spec.id;
+                match &w.kind {
+                    WriteKind::Final(o) => format!("{id} is {o:?}"),
+                    WriteKind::Set { chunk, text } => format!("{id} chunk {chunk} = {text:.40}"),
+                    WriteKind::Retire => format!("{id} retired"),
+                }
+            })
+            .collect();
+        let end = if commit { "written" } else { "no answer" };
+        self.note(&format!("round: [{}] {end}", told.join("; ")));
+        if commit {
+            for write in &writes {
+                self.epoch += 1;
+                self.cluster.written(write, self.epoch);
+            }
+        }
+        self
+    }
+
+    pub fn view(&mut self, id: &str) -> &mut Self {
+        let text = match self.cluster.view(id) {
+            Some(v) => format!(
+                "{} ({} done, {} running)",
+                v.state.name(),
+                v.done,
+                v.running
+            ),
+            None => "unknown".into(),
+        };
+        self.note(&format!("{id} is told as {text}"));
+        self
+    }
+
+    pub fn list(&mut self, machines: &[(&str, &str)]) -> &mut Self {
+        let list: Vec<ListedMachine> = machines
+            .iter()
+            .map(|(name, status)| {
+                let parts: Vec<&str> = name.split('-').collect();
+                let wire = cbor!({"ref" => *name, "build" => parts[0], "yard" => parts[1],
+                    "loaners" => true, "status" => *status, "heldS" => 100.0})
+                .unwrap();
+                decode(&encode(&wire)).unwrap()
+            })
+            .collect();
+        self.cluster.listed(&list, self.now, self.now);
+        self.record_fleet();
+        let names: Vec<&str> = machines.iter().map(|(n, _)| *n).collect();
+        self.note(&format!("the cloud lists [{}]", names.join(", ")));
+        self
+    }
+
+    pub fn rentals(&mut self) -> &mut Self {
+        self.cluster.plan_rentals(self.now);
+        let hires: Vec<String> = self
+            .cluster
+            .fleet
+            .hires
+            .iter()
+            .map(|h| {
+                format!(
+                    "{} {} {} in {}, spot {}",
+                    h.name, h.count, h.type_name, h.offer.zone, h.offer.spot
+                )
+            })
+            .collect();
+        self.note(&format!("rentals wanted: [{}]", hires.join("; ")));
+        self
+    }
+
+    /// What is bound, by machine.
+    pub fn bound(&mut self) -> &mut Self {
+        let mut lines = Vec::new();
+        for m in self.cluster.machines.values() {
+            let tasks: Vec<String> = m
+                .attempts
+                .iter()
+                .filter(|(_, a)| a.holds())
+                .map(|(k, _)| format!("{}/{}", self.cluster.jobs.table[&k.0].spec.id, k.1))
+                .collect();
+            lines.push(format!("{}: {}", m.name, tasks.join(" ")));
+        }
+        self.note(&format!("bound: [{}]", lines.join("; ")));
+        self
+    }
+}
+
+pub fn decimal(x: f64) -> Decimal {
+    Decimal(x)
+}
--- /dev/null
+++ b/tests/service.rs
@@ -0,0 +1,268 @@
+//! Real controller processes on loopback, with stand-ins for all that they talk to.
+
+#[path = "common/standin.rs"]
+mod standin;
+
+use aspenreel::http::cbor::{decode, encode};
+use aspenreel::http::client::Client;
+use aspenreel::leadership::{Take, take};
+use aspenreel::state_store::{Change, Commit, Store, Urgency, from_value, to_value};
+use aspenreel::time::{Clock, Micros};
+use ciborium::{Value, cbor};
+use serde::Deserialize;
+use standin::{Cloud, State};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A free port; the listener is closed again just before the process takes it.
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+struct Nodes {
+    public: Vec<SocketAddr>,
+    configs: Vec<std::path::PathBuf>,
+    children: Vec<Child>,
+}
+
+impl Nodes {
+    fn start(state: SocketAddr, cloud: SocketAddr, tag: &str) -> Nodes {
+        let public: Vec<SocketAddr> = (0..3).map(|_| free()).collect();
+        let peers: Vec<SocketAddr> = (0..3).map(|_| free()).collect();
+        let mut nodes = Nodes {
+            public: public.clone(),
+            configs: Vec::new(),
+            children: Vec::new(),
+        };
+        for n in 0..3 {
+            let members: String = (0..3)
+                .filter(|m| *m != n)
+                .map(|m| {
+                    format!(
+                        "[[members]]\nnode = \"n-{m}\"\nlocation = \"east\"\npeer_addr = \"{}\"\n",
+                        peers[m]
+                    )
+                })
+                .collect();
+            let text = format!(
+                "node = \"n-{n}\"\nlocation = \"east\"\npublic_addr = \"{}\"\n\
+                 peer_listen = \"{}\"\n{members}\
+                 [endpoints]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\
+                 [settings]\nzones = [\"east\"]\nskew_ms = 5.0\n\
+                 teams = [{{ name = \"a\", cpus = 16.0, cpus_max = 32.0 }}]\n\
+                 workers = {{ report_s = 0.5, lease_s = 4.0, cancel_s = 20.0 }}\n\
+                 state = {{ rps = 500.0, write_rps = 200.0, value_kb = 8.0, txn_ops = 12 }}\n\
+                 cloud = {{ rps = 50.0, list_lag_s = 1.0 }}\nquota = {{ sockets = 500 }}\n",
+                public[n], peers[n]
+            );
+            let name = format!("aspenreel-{}-{tag}-{n}.toml", std::process::id());
+            let path = std::env::temp_dir().join(name);
+            std::fs::write(&path, text).unwrap();
+            nodes.children.push(spawn(&path));
+            nodes.configs.push(path);
+        }
+        nodes
+    }
+
+    fn call(&self, node: usize, method: &str, path: &str, body: &[u8]) -> (u16, Option<Answer>) {
+        let result =
+            Client::new(self.public[node]).call(method, path, body, Duration::from_secs(5));
+        match result {
+            Ok((status, body)) => (status, decode(&body).ok()),
+            Err(_) => (0, None),
+        }
+    }
+
+    /// Asks again, as users do, until the answer is as wanted.
+    fn until(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        wanted: impl Fn(u16, &Option<Answer>) -> bool,
+    ) -> Option<Answer> {
+        let deadline = Instant::now() + Duration::from_secs(120);
+        loop {
+            let (status, answer) = self.call(node, method, path, body);
+            if wanted(status, &answer) {
+                return answer;
+            }
+            assert!(
+                Instant::now() < deadline,
+                "{method} {path}: still {status} {answer:?}"
+            );
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn until_status(&self, node: usize, id: &str, status: &str) {
+        self.until(node, "GET", &format!("/work/{id}"), &[], |_, a| {
+            a.as_ref().is_some_and(|a| a.status == status)
+        });
+    }
+}
+
+impl Drop for Nodes {
+    fn drop(&mut self) {
+        for child in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        for path in &self.configs {
+            let _ = std::fs::remove_file(path);
+        }
+    }
+}
+
+fn spawn(config: &std::path::Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_aspenreel"))
+        .args([
+            "serve",
+            "--hold-ms",
+            "2000",
+            "--round-ms",
+            "200",
+            "--config",
+        ])
+        .arg(config)
+        .env("LOG_LEVEL", "error")
+        .stderr(Stdio::inherit())
+        .spawn()
+        .unwrap()
+}
+
+#[derive(Debug, Deserialize)]
+struct Answer {
+    status: String,
+    #[serde(default)]
+    done: u32,
+}
+
+fn job(id: &str, pieces: u32, cpus: f64) -> Vec<u8> {
+    let wire = cbor!({
+        "ref" => id, "lane" => "train", "crew" => "a", "shape" => "array", "rank" => "normal",
+        "pieces" => pieces, "cpus" => cpus, "gpus" => 0, "ramGb" => 1.0, "bundle" => "img",
+        "imageGb" => 1.0, "builds" => null, "samePlace" => false, "spread" => false,
+        "loaners" => true, "guessS" => 1, "bookmarkS" => 0, "stashS" => 0, "extra" => [1, 2]
+    })
+    .unwrap();
+    encode(&wire)
+}
+
+fn leader(state: &State) -> Option<usize> {
+    #[derive(Deserialize)]
+    struct Record {
+        node: String,
+    }
+    let record: Record = from_value(&state.data("leader")?)?;
+    record.node.strip_prefix("n-")?.parse().ok()
+}
+
+/// The whole service: jobs run, the leader is killed, jobs still run, nothing runs twice.
+#[test]
+fn serves_through_a_leader_crash() {
+    let (state, state_addr) = State::start();
+    let (cloud, cloud_addr) = Cloud::start();
+    let mut nodes = Nodes::start(state_addr, cloud_addr, "serve");
+    let named = |i: usize| (format!("n-{i}"), nodes.public[i]);
+    *cloud.controllers.lock().unwrap() = (0..3).map(named).collect();
+    for n in 0..3 {
+        nodes.until(n, "GET", "/up", &[], |s, _| s == 200);
+    }
+
+    // Refusals are decided before anything is written.
+    assert_eq!(nodes.call(0, "POST", "/work", b"rubbish").0, 400);
+    assert_eq!(
+        nodes.call(0, "POST", "/work", &job("task-1", 1, 1.0)).0,
+        400
+    );
+    assert_eq!(nodes.call(1, "POST", "/work", &job("run-9", 1, 9.0)).0, 422);
+    assert_eq!(nodes.call(2, "GET", "/work/run-9", &[]).0, 404);
+    assert_eq!(nodes.call(2, "DELETE", "/work/run-9", &[]).0, 405);
+    assert_eq!(nodes.call(2, "GET", "/nothing", &[]).0, 404);
+
+    nodes.until(1, "POST", "/work", &job("run-1", 6, 2.0), |s, _| s == 201);
+    assert_eq!(nodes.call(2, "POST", "/work", &job("run-1", 6, 2.0)).0, 200);
+    nodes.until_status(2, "run-1", "done");
+    let last = nodes.call(0, "GET", "/work/run-1", &[]).1.unwrap();
+    assert_eq!((last.status.as_str(), last.done), ("done", 6));
+
+    // A job that never ends by itself, left over from the leader that is killed now.
+    cloud.ground.endless.lock().unwrap().insert("run-2".into());
+    nodes.until(0, "POST", "/work", &job("run-2", 3, 2.0), |s, _| s == 201);
+    nodes.until_status(1, "run-2", "running");
+    let old = leader(&state).unwrap();
+    nodes.children[old].kill().unwrap();
+    nodes.children[old].wait().unwrap();
+    let (a, b) = ((old + 1) % 3, (old + 2) % 3);
+    nodes.until(a, "POST", "/work", &job("run-3", 4, 1.0), |s, _| {
+        s == 201 || s == 200
+    });
+    nodes.until_status(b, "run-3", "done");
+    nodes.until_status(b, "run-2", "running");
+    let withdrawn = nodes.until(a, "POST", "/work/run-2/withdraw", &[], |s, _| s == 200);
+    assert_eq!(withdrawn.unwrap().status, "cancelled");
+
+    // Repeats after the end, even malformed ones, get the final state.
+    nodes.children[old] = spawn(&nodes.configs[old]);
+    nodes.until(old, "GET", "/up", &[], |s, _| s == 200);
+    nodes.until_status(old, "run-1", "done");
+    nodes.until_status(old, "run-2", "cancelled");
+    let broken = encode(&cbor!({"ref" => "run-1"}).unwrap());
+    let (status, answer) = nodes.call(old, "POST", "/work", &broken);
+    assert_eq!((status, answer.unwrap().status.as_str()), (200, "done"));
+    let again = nodes.call(b, "POST", "/work/run-1/withdraw", &[]).1;
+    assert_eq!(again.unwrap().status, "done");
+    assert_eq!(cloud.ground.started.lock().unwrap().len(), 13);
+    assert_eq!(*cloud.ground.broken.lock().unwrap(), Vec::<String>::new());
+
+    // In an outage refusals come at once and say when to come back.
+    *state.down.lock().unwrap() = true;
+    assert_eq!(nodes.call(a, "POST", "/work", &job("run-5", 1, 1.0)).0, 503);
+    assert_eq!(nodes.call(a, "GET", "/up", &[]).0, 200);
+    *state.down.lock().unwrap() = false;
+    nodes.until(a, "POST", "/work", &job("run-5", 1, 1.0), |s, _| s == 201);
+    nodes.until_status(b, "run-5", "done");
+}
+
+/// Whatever an older leader wrote and the network delivers late fails on the leader's stamp.
+#[test]
+fn late_transactions_of_an_older_leader_fail() {
+    let (state, addr) = State::start();
+    let clock = Arc::new(Clock::default());
+    let store = Store::new(addr, 1000.0, clock.clone());
+    let life = Micros::from_secs(60);
+    let Take::Taken(old) = take(&store, &clock, "n-0", life).unwrap() else {
+        panic!("nobody else stood");
+    };
+    assert!(matches!(
+        take(&store, &clock, "n-1", life).unwrap(),
+        Take::Lost
+    ));
+    store.end_hold(old.permit).unwrap();
+    let Take::Taken(new) = take(&store, &clock, "n-1", life).unwrap() else {
+        panic!("the lead was free");
+    };
+    assert_eq!(new.term, old.term + 1);
+    let write = |text: &str| Change::write("done/run-1/0", to_value(&text));
+    let late = store
+        .multi(&[old.guard()], &[write("old")], Urgency::Normal)
+        .unwrap();
+    assert_eq!(
+        late,
+        Commit::Conflict {
+            failed: vec!["leader".into()]
+        }
+    );
+    let now = store
+        .multi(&[new.guard()], &[write("new")], Urgency::Normal)
+        .unwrap();
+    assert!(matches!(now, Commit::Done { .. }));
+    assert_eq!(state.data("done/run-1/0"), Some(Value::Text("new".into())));
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,93 @@
+//! Bad settings and flags end the program at once, with one line that names the field.
+
+use std::process::Command;
+
+pub const GOOD: &str = r#"
+node = "n-0"
+location = "east"
+public_addr = "127.0.0.1:0"
+peer_listen = "127.0.0.1:0"
+future_field = "ignored"
+
+[[members]]
+node = "n-1"
+location = "east"
+peer_addr = "127.0.0.1:2"
+
+[endpoints]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+
+[settings]
+zones = ["east"]
+skew_ms = 5.0
+teams = [{ name = "a", cpus = 1.0, cpus_max = 2.0 }]
+workers = { report_s = 3.0, lease_s = 20.0, cancel_s = 40.0 }
+state = { rps = 100.0, write_rps = 20.0, value_kb = 8.0, txn_ops = 12 }
+cloud = { rps = 5.0, list_lag_s = 5.0 }
+quota = { sockets = 500, memory_mb = 40.0 }
+"#;
+
+fn run(args: &[&str], level: &str) -> (Option<i32>, String) {
+    let out = Command::new(env!("CARGO_BIN_EXE_aspenreel"))
+        .args(args)
+        .env("LOG_LEVEL", level)
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&out.stderr).into_owned();
+    (out.status.code(), text)
+}
+
+fn with_settings(name: &str, text: &str) -> String {
+    let path = std::env::temp_dir().join(format!("aspenreel-{}-{name}.toml", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    let (code, err) = run(&["serve", "--config", path.to_str().unwrap()], "info");
+    let _ = std::fs::remove_file(&path);
+    assert_eq!(code, Some(2), "{err}");
+    assert_eq!(err.lines().count(), 1, "{err}");
+    err.trim().to_string()
+}
+
+#[test]
+fn bad_settings_name_their_field() {
+    assert!(aspenreel::settings::Settings::parse(GOOD).is_ok());
+    let cases = [
+        ("broken", "node = ", ""),
+        ("missing", "node = \"n-0\"\n", ""),
+        ("type", "skew_ms = 5.0", "skew_ms = \"five\""),
+        ("absurd", "lease_s = 20.0", "lease_s = 2.0"),
+        ("negative", "rps = 100.0", "rps = -1.0"),
+        ("limit", "cpus_max = 2.0", "cpus_max = 0.5"),
+        ("address", "127.0.0.1:4", "nowhere"),
+        ("itself", "node = \"n-1\"", "node = \"n-0\""),
+    ];
+    let mut told = String::new();
+    for (name, from, to) in cases {
+        let text = if to.is_empty() {
+            from.to_string()
+        } else {
+            assert!(GOOD.contains(from), "{from}");
+            GOOD.replacen(from, to, 1)
+        };
+        told += &format!("{name}: {}\n", with_settings(name, &text));
+    }
+    insta::assert_snapshot!(told);
+}
+
+#[test]
+fn bad_flags_and_files_are_told() {
+    let (code, err) = run(&["serve", "--config", "/nowhere/at-all.toml"], "info");
+    assert_eq!(code, Some(2));
+    assert!(err.contains("/nowhere/at-all.toml"), "{err}");
+    let (code, err) = run(&["serve", "--config", "x", "--no-such-flag"], "info");
+    assert_eq!(code, Some(2));
+    assert!(err.contains("--no-such-flag"), "{err}");
+    let (code, err) = run(&["serve", "--config", "x", "--round-ms", "0"], "info");
+    assert_eq!(code, Some(2));
+    assert!(err.contains("--round-ms"), "{err}");
+    let (code, err) = run(&["serve", "--config", "x"], "loud");
+    assert_eq!(code, Some(2));
+    assert!(err.contains("LOG_LEVEL"), "{err}");
+    let (code, _) = run(&["--help"], "info");
+    assert_eq!(code, Some(0));
+}
--- /dev/null
+++ b/tests/traces.rs
@@ -0,0 +1,384 @@
+//! Kept traces: what a leader does, event by event. Each guards one promise.
+
+#[path = "common/trace.rs"]
+mod trace;
+
+use aspenreel::fleet::HireResult;
+use aspenreel::jobs::spec::Rank;
+use aspenreel::workers::DirectResult;
+use insta::assert_snapshot;
+use trace::{World, at, decimal, submission, team};
+
+fn one_team() -> Vec<aspenreel::settings::TeamSettings> {
+    vec![team("a", 100.0, 100.0)]
+}
+
+/// A done task counts, and is cleared, only once its done set is written.
+#[test]
+fn settling() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.at(1.0).job(submission("run-1", |s| s.pieces = 2));
+    w.at(3.0).check_in("big-east-1", &[]);
+    w.at(6.0)
+        .check_in(
+            "big-east-1",
+            &["run-1/0#2.1 running", "run-1/1#2.2 running"],
+        )
+        .view("run-1");
+    w.at(9.0)
+        .check_in("big-east-1", &["run-1/0#2.1 done", "run-1/1#2.2 running"])
+        .view("run-1");
+    w.round(false).view("run-1");
+    w.at(11.0).round(true).view("run-1");
+    w.at(12.0)
+        .check_in("big-east-1", &["run-1/0#2.1 done", "run-1/1#2.2 running"]);
+    w.at(14.0)
+        .check_in("big-east-1", &["run-1/1#2.2 done"])
+        .view("run-1")
+        .round(true)
+        .view("run-1");
+    w.at(15.0).check_in("big-east-1", &["run-1/1#2.2 done"]);
+    w.at(16.0).round(true).check_in("big-east-1", &[]);
+    assert_snapshot!(w.log);
+}
+
+/// Of two attempts the first settle wins; the other is stopped and changes nothing.
+#[test]
+fn first_settle_wins() {
+    let mut w = World::new(3, one_team());
+    w.old_job(submission("run-1", |s| s.pieces = 1));
+    w.check_in("big-east-1", &["run-1/0#1.7 running"]);
+    w.check_in("big-east-2", &["run-1/0#2.9 running"]);
+    w.at(2.0).check_in("big-east-2", &["run-1/0#2.9 done"]);
+    w.at(3.0).round(true).view("run-1");
+    w.at(3.5).check_in("big-east-1", &["run-1/0#1.7 running"]);
+    w.at(4.0).check_in("big-east-1", &["run-1/0#1.7 error"]);
+    w.round(true).view("run-1");
+    assert_snapshot!(w.log);
+}
+
+/// A new leader waits for every recorded machine before it runs an earlier job's tasks again.
+#[test]
+fn takeover_waits_for_recorded_machines() {
+    let mut w = World::new(5, one_team());
+    w.cluster.note_unseen("big-east-1", at(-100.0));
+    w.cluster.note_unseen("big-east-2", at(-100.0));
+    w.old_job(submission("run-1", |s| s.pieces = 2));
+    w.at(0.2).job(submission("run-2", |s| s.pieces = 1));
+    let old_token = w.report("big-east-1", 4, 1, &["run-1/0#4.1 running"]);
+    w.at(0.5).send(&old_token);
+    w.at(1.0)
+        .check_in("big-east-1", &["run-1/0#4.1 running"])
+        .bound();
+    w.at(2.0).check_in("big-east-2", &[]).bound();
+    assert_snapshot!(w.log);
+}
+
+/// A recorded machine that stays silent is waited for through one full lease, not less.
+#[test]
+fn takeover_waits_a_lease_for_a_silent_machine() {
+    let mut w = World::new(5, one_team());
+    w.cluster.note_unseen("big-east-9", at(-1.0));
+    w.old_job(submission("run-1", |s| s.pieces = 1));
+    for t in [1.0, 10.0, 20.0, 20.4] {
+        w.at(t).check_in("big-east-1", &[]);
+        w.tick(t).bound();
+    }
+    w.tick(20.6).bound();
+    assert_snapshot!(w.log);
+}
+
+/// Two lists without a machine that existed long before prove that it is gone.
+#[test]
+fn unlisted_machines_are_gone() {
+    let mut w = World::new(5, one_team());
+    w.cluster.note_unseen("big-east-9", at(-60.0));
+    w.cluster.note_unseen("big-east-8", at(-2.0));
+    w.old_job(submission("run-1", |s| s.pieces = 1));
+    w.at(1.0).check_in("big-east-1", &[]);
+    w.at(2.0).list(&[("big-east-1", "running")]);
+    w.at(5.0).list(&[("big-east-1", "running")]).bound();
+    let unseen = format!("unseen: {:?}", w.cluster.unseen);
+    w.note(&unseen);
+    w.at(12.0).list(&[("big-east-1", "running")]);
+    w.at(15.0).list(&[("big-east-1", "running")]);
+    w.tick(15.2).bound();
+    assert_snapshot!(w.log);
+}
+
+/// Late reports change nothing; one that a direct answer overtook is still answered.
+#[test]
+fn late_reports() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.job(submission("run-1", |s| s.pieces = 1));
+    let overtaken = w.report("big-east-1", 2, 1, &[]);
+    w.at(1.0).tick(1.0);
+    w.direct(|w| DirectResult::Report(w.report("big-east-1", 2, 1, &["run-1/0#2.1 running"])));
+    w.at(1.1).send(&overtaken).bound();
+    w.at(2.0).check_in("big-east-1", &["run-1/0#2.1 running"]);
+    w.tick(30.0).bound();
+    let after_lease = w.report("big-east-1", 2, 1, &["run-1/0#2.1 done"]);
+    w.send(&after_lease).view("run-1");
+    let next_session = w.report("big-east-1", 2, 2, &[]);
+    w.at(31.0).send(&next_session).bound();
+    let higher = w.report("big-east-1", 3, 2, &[]);
+    w.at(32.0).send(&higher);
+    assert_snapshot!(w.log);
+}
+
+/// A start without an answer may arrive at any time: its task stays bound, and the attempt is
+/// never cleared while the session lasts, since a start after `clear` would run it again.
+#[test]
+fn unanswered_direct_start() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.check_in("big-east-2", &[]);
+    w.at(0.5).job(submission("run-1", |s| s.pieces = 1));
+    w.tick(1.0).direct(|_| DirectResult::Unknown).bound();
+    let name = w
+        .cluster
+        .machines
+        .values()
+        .find(|m| m.busy())
+        .map(|m| m.name.clone())
+        .unwrap();
+    w.cluster.ask_cancel("run-1");
+    w.round(true).view("run-1");
+    w.at(3.0).check_in(&name, &[]);
+    w.at(6.0).check_in(&name, &[]).bound();
+    w.at(7.0)
+        .check_in(&name, &["run-1/0#2.1 stopped"])
+        .round(true);
+    w.at(9.0).check_in(&name, &["run-1/0#2.1 stopped"]).bound();
+    let next_session = w.report(&name, 2, 2, &[]);
+    w.at(40.0).send(&next_session).round(true);
+    assert_snapshot!(w.log);
+}
+
+/// A start lost with its answer goes out again; one no longer wanted is dropped, by proof.
+#[test]
+fn lost_answers() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.job(submission("run-1", |s| s.pieces = 2));
+    w.at(3.0).check_in("big-east-1", &[]);
+    w.at(6.0)
+        .check_in("big-east-1", &["run-1/1#2.2 running"])
+        .bound();
+    w.cluster.ask_cancel("run-1");
+    w.round(true);
+    w.at(9.0)
+        .check_in("big-east-1", &["run-1/1#2.2 running"])
+        .bound();
+    w.at(10.0)
+        .check_in("big-east-1", &["run-1/1#2.2 stopped"])
+        .bound();
+    assert_snapshot!(w.log);
+}
+
+/// Withdrawn or done: whichever is recorded first, and only one of them is ever told.
+#[test]
+fn withdraw_against_done() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.job(submission("run-1", |s| s.pieces = 1));
+    w.job(submission("run-2", |s| s.pieces = 1));
+    w.at(3.0).check_in("big-east-1", &[]);
+    w.at(6.0)
+        .check_in("big-east-1", &["run-1/0#2.1 done", "run-2/0#2.2 running"]);
+    w.cluster.ask_cancel("run-1");
+    w.cluster.ask_cancel("run-2");
+    w.view("run-1").view("run-2");
+    w.at(6.1).round(true).view("run-1").view("run-2");
+    w.at(7.0)
+        .check_in("big-east-1", &["run-1/0#2.1 done", "run-2/0#2.2 done"]);
+    w.round(true).view("run-2");
+    assert_snapshot!(w.log);
+}
+
+/// A team's limit counts what machines that were not heard from may still run.
+#[test]
+fn quota_counts_unseen_machines() {
+    let mut w = World::new(2, vec![team("a", 8.0, 12.0)]);
+    w.cluster.note_unseen("big-east-9", at(-1.0));
+    w.old_job(submission("run-1", |s| s.pieces = 2));
+    w.at(0.1).job(submission("run-2", |s| s.pieces = 3));
+    w.at(1.0).check_in("big-east-1", &[]).bound();
+    let seen = w.report("big-east-9", 2, 1, &["run-1/0#1.1 running"]);
+    w.at(2.0).send(&seen).bound();
+    assert_snapshot!(w.log);
+}
+
+/// `spread`: at most half of the tasks, rounded up, in a zone. `samePlace`: all in one.
+#[test]
+fn zones() {
+    let mut w = World::new(2, one_team());
+    for name in ["big-east-1", "small-west-1", "small-west-2"] {
+        w.check_in(name, &[]);
+    }
+    w.job(submission("run-1", |s| {
+        s.pieces = 5;
+        s.spread = true;
+    }));
+    w.job(submission("run-2", |s| {
+        s.pieces = 4;
+        s.same_place = true;
+    }));
+    w.tick(1.0).bound();
+    assert_snapshot!(w.log);
+}
+
+/// Ranks stop lower ranks; guarantees take back what was lent, but never from a higher rank.
+#[test]
+fn preemption() {
+    let teams = vec![team("a", 0.0, 100.0), team("b", 16.0, 100.0)];
+    let mut w = World::new(2, teams);
+    w.check_in("big-east-1", &[]);
+    w.job(submission("run-1", |s| {
+        s.pieces = 4;
+        s.cpus = decimal(8.0);
+    }));
+    w.at(1.0).check_in("big-east-1", &[]);
+    let running = [
+        "run-1/0#2.1 running",
+        "run-1/1#2.2 running",
+        "run-1/2#2.3 running",
+        "run-1/3#2.4 running",
+    ];
+    w.at(2.0).check_in("big-east-1", &running);
+    w.at(5.0).job(submission("run-2", |s| {
+        s.crew = "b".into();
+        s.pieces = 1;
+        s.cpus = decimal(16.0);
+    }));
+    w.at(5.1).check_in("big-east-1", &running);
+    let left = ["run-1/2#2.3 running", "run-1/3#2.4 running"];
+    w.at(6.0).check_in("big-east-1", &left);
+    let both = [
+        "run-1/2#2.3 running",
+        "run-1/3#2.4 running",
+        "run-2/0#2.5 running",
+    ];
+    w.at(8.0).check_in("big-east-1", &both);
+    w.job(submission("run-3", |s| {
+        s.pieces = 3;
+        s.cpus = decimal(8.0);
+        s.rank = Rank::High;
+    }));
+    w.at(9.0).check_in("big-east-1", &both);
+    assert_snapshot!(w.log);
+}
+
+/// A task that fails everywhere waits longer and longer; one bad machine is left alone.
+#[test]
+fn failures() {
+    let mut w = World::new(2, one_team());
+    w.job(submission("run-1", |s| s.pieces = 1));
+    w.job(submission("run-2", |s| s.pieces = 1));
+    w.check_in("big-east-1", &[]);
+    w.at(1.0).check_in("big-east-1", &[]);
+    w.at(2.0)
+        .check_in("big-east-1", &["run-1/0#2.1 error", "run-2/0#2.2 error"]);
+    let faulty = w.cluster.machines["big-east-1"].faulty;
+    w.note(&format!("big-east-1 faulty: {faulty}"));
+    for (i, t) in [(2, 3.0), (3, 5.0), (4, 7.0)] {
+        let name = format!("big-east-{i}");
+        w.at(t).check_in(&name, &[]);
+        w.at(t + 0.5).check_in(&name, &[]);
+    }
+    assert_snapshot!(w.log);
+}
+
+/// 100,000 tasks: the done set is cut into small values, and a takeover reads it back.
+#[test]
+fn large_job() {
+    let mut w = World::new(2, one_team());
+    w.job(submission("run-1", |s| s.pieces = 100_000));
+    let id = w.cluster.jobs.find("run-1").unwrap();
+    for task in (0..100_000).filter(|t| t % 7 != 3) {
+        w.cluster.jobs.table.get_mut(&id).unwrap().done.insert(task);
+    }
+    let writes = w.cluster.due_sets(1000);
+    let longest = writes
+        .iter()
+        .flat_map(|x| &x.changes)
+        .map(|c| aspenreel::http::cbor::encode(c).len())
+        .max();
+    w.note(&format!(
+        "{} writes, the longest under 3 KiB: {}",
+        writes.len(),
+        longest.is_some_and(|l| l < 3072)
+    ));
+    let mut next = World::new(3, one_team());
+    next.old_job(submission("run-1", |s| s.pieces = 100_000));
+    for write in &writes {
+        w.cluster.written(write, 500);
+        if let aspenreel::jobs::rounds::WriteKind::Set { chunk, text } = &write.kind {
+            let record = aspenreel::jobs::DoneRecord {
+                state: None,
+                set: text.clone(),
+            };
+            next.cluster.load_done("run-1", *chunk, &record, 500);
+        }
+    }
+    let remaining = next.cluster.jobs.get("run-1").unwrap().remaining();
+    w.note(&format!("the next leader finds {remaining} tasks left"));
+    w.cluster.ask_cancel("run-1");
+    w.round(true);
+    // More chunks than a transaction holds: they go in steps, the final record last.
+    w.cluster.released = true;
+    w.round(true).round(true).view("run-1");
+    assert_snapshot!(w.log);
+}
+
+/// Waiting work rents the cheapest that holds it; what is refused isn't asked for at once again.
+#[test]
+fn renting() {
+    let mut w = World::new(4, one_team());
+    w.job(submission("run-1", |s| {
+        s.pieces = 3;
+        s.cpus = decimal(8.0);
+        s.yard = Some("west".into());
+    }));
+    w.rentals();
+    w.at(1.0).list(&[]).rentals();
+    w.cluster.hired(
+        "r-4-1",
+        HireResult::Rented(vec!["small-west-7".into()]),
+        at(2.0),
+    );
+    w.at(2.0).rentals();
+    w.at(3.0).job(submission("run-2", |s| {
+        s.cpus = decimal(8.0);
+        s.pieces = 1;
+        s.loaners = false;
+    }));
+    w.rentals();
+    w.cluster.hired("r-4-2", HireResult::Unknown, at(4.0));
+    w.at(4.0).rentals();
+    w.cluster.hired("r-4-2", HireResult::NoCapacity, at(5.0));
+    w.at(5.0).rentals();
+    assert_snapshot!(w.log);
+}
+
+/// A new leader keeps machines that it has not heard from yet, and returns what never came up.
+#[test]
+fn returns() {
+    let mut w = World::new(4, one_team());
+    w.cluster.note_unseen("big-east-1", at(-300.0));
+    w.at(1.0)
+        .list(&[("big-east-1", "running"), ("small-west-2", "starting")]);
+    let due = w.cluster.plan_returns(at(1.0));
+    w.note(&format!("to return: {due:?}"));
+    for t in [5.0, 30.0, 60.0, 140.0] {
+        w.at(t).check_in("big-east-1", &[]);
+        w.tick(t);
+        let due = w.cluster.plan_returns(at(t));
+        w.note(&format!("to return: {due:?}"));
+    }
+    w.cluster.returned(&["big-east-1".into()]);
+    w.at(141.0).check_in("big-east-1", &[]);
+    assert_snapshot!(w.log);
+}
