--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -7,6 +7,7 @@
 use crate::jobs::spec::Submission;
 use crate::jobs::{DoneRecord, Job, JobId, JobView, Jobs, Outcome, ViewState, new_job};
 use crate::settings::{Objective, TeamSettings};
+use crate::state_store::pages::Pages;
 use crate::time::{Micros, Moment, WallTime, at_most};
 use crate::workers::Machine;
 use crate::workers::wire::TaskStatus;
@@ -28,15 +29,6 @@
     pub objectives: Vec<Objective>,
 }
 
-/// What an earlier term recorded of a machine.
-#[derive(Clone, Debug)]
-pub struct OldRecord {
-    /// It existed at this moment, at the latest.
-    pub since: Moment,
-    /// Jobs whose tasks may be on it; None if that can't be told.
-    pub jobs: Option<BTreeSet<String>>,
-}
-
 /// Beside clock drift, allow for timers and for time between reading a clock and sending.
 const LEASE_MARGIN: Micros = Micros::from_millis(500);
 
@@ -60,12 +52,16 @@
     pub estimate_ratio: BTreeMap<String, f64>,
     /// Machines on record that may hold tasks of earlier terms, not counted in yet.
     pub unseen: BTreeSet<String>,
-    /// What earlier terms recorded of their machines.
-    pub old_records: BTreeMap<String, OldRecord>,
-    /// Held jobs were compared with the records once.
-    pub sorted_out: bool,
-    /// Recorded machines that are gone: their records may go too.
-    pub unrecord: BTreeSet<String>,
+    /// When the machines that earlier terms recorded existed, at the latest.
+    pub old_records: BTreeMap<String, Moment>,
+    /// Which tasks may have started: of each job those numbered below its entry.
+    pub claims: Pages<u32>,
+    /// A page of claims could not be read: any task of an earlier job may have started.
+    pub claims_lost: bool,
+    /// Machines with tasks that wait for their job's claim.
+    pub awaiting_claim: BTreeMap<JobId, BTreeSet<String>>,
+    /// The time of day at `started`.
+    pub wall_at_start: WallTime,
     /// Machines with orders that go straight to them.
     pub poked: BTreeSet<String>,
     /// A job's final state waits for its record.
@@ -88,8 +84,10 @@
             estimate_ratio: BTreeMap::new(),
             unseen: BTreeSet::new(),
             old_records: BTreeMap::new(),
-            sorted_out: false,
-            unrecord: BTreeSet::new(),
+            claims: Pages::default(),
+            claims_lost: false,
+            awaiting_claim: BTreeMap::new(),
+            wall_at_start: WallTime(0),
             poked: BTreeSet::new(),
             urgent_rounds: false,
         }
@@ -100,12 +98,11 @@
         at_most(self.config.lease) + LEASE_MARGIN
     }
 
-    /// Adds an accepted job. `held`: it was accepted under an earlier term.
+    /// Adds an accepted job. What an earlier term claimed of it is known from the pages.
     pub fn add_job(
         &mut self,
         submission: &Submission,
         stamp: u64,
-        held: bool,
         now: Moment,
         wall: WallTime,
     ) -> JobId {
@@ -117,8 +114,15 @@
         let age = wall.0.saturating_sub(spec.accepted.0);
         let accepted_at = Moment(now.0.saturating_sub(age));
         self.dirty = true;
-        self.jobs
-            .insert(new_job(spec, team, stamp, accepted_at, held))
+        let mut claimed = self.claims.get(&spec.id).copied().unwrap_or(0);
+        if self.claims_lost {
+            claimed = spec.tasks;
+        }
+        let mut job = new_job(spec, team, stamp, accepted_at, claimed);
+        if self.released {
+            job.release();
+        }
+        self.jobs.insert(job)
     }
 
     /// Takes in a done set's key, read at takeover or after a conflict.
@@ -140,7 +144,7 @@
         }
         job.recorded = set;
         for task in job.recorded.iter().collect::<Vec<_>>() {
-            job.done.insert(task);
+            job.settle(task);
         }
         if let Some(outcome) = record.state {
             self.finish(job_id, outcome);
@@ -189,6 +193,25 @@
         self.dirty = true;
     }
 
+    /// Claims of jobs that were retired: nothing of them is left.
+    pub fn drop_stale_claims(&mut self) {
+        let jobs = &self.jobs;
+        let stale: Vec<String> = self
+            .claims
+            .keys()
+            .filter(|id| jobs.find(id).is_none())
+            .cloned()
+            .collect();
+        for id in stale {
+            self.claims.remove(&id);
+        }
+    }
+
+    /// The time of day, as far as this clock tells it.
+    pub fn wall(&self, now: Moment) -> WallTime {
+        WallTime(self.wall_at_start.0 + (now - self.started).0)
+    }
+
     /// From here on nothing of the job starts; it is cancelled once that is recorded.
     pub fn ask_cancel(&mut self, id: &str) -> bool {
         let Some(job_id) = self.jobs.find(id) else {
@@ -208,7 +231,11 @@
         if let Some(outcome) = job.outcome {
             return Some(JobView::of_final(outcome, job.spec.tasks));
         }
-        let running = self.running_of(self.jobs.find(id)?);
+        let running = if job.is_bound() {
+            self.running_of(self.jobs.find(id)?)
+        } else {
+            0
+        };
         Some(JobView {
             state: if running > 0 {
                 ViewState::Running
@@ -228,17 +255,16 @@
             .count() as u32
     }
 
-    /// Lets jobs of earlier terms go once no unseen machine can hold their tasks any more.
+    /// Lets earlier terms' claimed tasks go once no unseen machine can hold them any more.
     ///
-    /// A job's tasks start on a machine only once the machine's record names the job, so the
-    /// records tell which machines can hold tasks of which jobs of earlier terms. Once each
-    /// machine that names a job was counted in under this term, or its session surely ended,
-    /// nothing of the job is unseen, and its wait for a full lease ends early.
+    /// A task starts only on a machine that is on the roster, and only once it is claimed. So
+    /// tasks that were not claimed never started, and the claimed ones can only be on machines of
+    /// the roster. Once each of these was counted in under this term, or its session surely
+    /// ended, nothing is unseen, and the wait for a full lease ends early.
     pub fn release_seen(&mut self, now: Moment) {
         if self.released {
             return;
         }
-        let before = self.unseen.len();
         let machines = &self.machines;
         let fleet = &self.fleet;
         self.unseen.retain(|name| {
@@ -248,29 +274,22 @@
             !seen && !fleet.is_gone(name)
         });
         let lease_over = now - self.started >= self.lease_span();
-        if lease_over || self.unseen.is_empty() {
-            log::info!(
-                "earlier jobs are released, {} machines unseen",
-                self.unseen.len()
-            );
-            for name in std::mem::take(&mut self.unseen) {
-                if !self.machines.contains_key(&name) {
-                    self.unrecord.insert(name);
-                }
-            }
-            self.released = true;
-        } else if self.unseen.len() == before && self.sorted_out {
+        if !lease_over && !self.unseen.is_empty() {
             return;
         }
-        self.sorted_out = true;
+        log::info!(
+            "earlier jobs are released, {} machines unseen",
+            self.unseen.len()
+        );
+        for name in std::mem::take(&mut self.unseen) {
+            if !self.machines.contains_key(&name) {
+                self.fleet.roster.remove(&name);
+            }
+        }
+        self.released = true;
         self.dirty = true;
-        let (unseen, records) = (&self.unseen, &self.old_records);
-        let names = |machine: &String, id: &String| {
-            let jobs = records.get(machine).and_then(|r| r.jobs.as_ref());
-            jobs.is_none_or(|jobs| jobs.contains(id))
-        };
-        for job in self.jobs.table.values_mut().filter(|j| j.held) {
-            job.held = unseen.iter().any(|m| names(m, &job.spec.id));
+        for job in self.jobs.table.values_mut() {
+            job.release();
         }
     }
 
@@ -360,10 +379,10 @@
         Some(most.0.to_string())
     }
 
-    /// A machine that an earlier term recorded.
-    pub fn note_unseen(&mut self, name: &str, record: OldRecord) {
+    /// A machine that an earlier term recorded, and when it existed at the latest.
+    pub fn note_unseen(&mut self, name: &str, since: Moment) {
         self.unseen.insert(name.to_string());
-        self.old_records.insert(name.to_string(), record);
+        self.old_records.insert(name.to_string(), since);
     }
 
     /// What time alone changes.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,11 +4,11 @@
 pub mod wire;
 
 use crate::cluster::Cluster;
-use crate::jobs::{Job, JobId};
+use crate::jobs::Job;
+use crate::jobs::rounds::{Write, WriteKind, page_write};
 use crate::placement::Room;
 use crate::time::{Micros, Moment};
-use crate::workers::Direct;
-use serde::{Deserialize, Serialize};
+use crate::state_store::pages::Pages;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use wire::ListedMachine;
 
@@ -108,25 +108,13 @@
     /// A list was read under this term: before, nobody knows what is rented already.
     pub listed: bool,
     pub last_list: Option<Moment>,
+    /// Machines that may hold tasks. A machine is written down before its first one, as soon as
+    /// it is known to exist, so that no start has to wait for it.
+    pub roster: Pages<u64>,
 }
 
-/// What is to be written of a machine.
-#[derive(Clone, Debug)]
-pub struct FleetRecord {
-    pub machine: String,
-    pub jobs: BTreeSet<JobId>,
-}
-
-/// The value of `fleet/<machine>`.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct FleetValue {
-    /// When it was written, by the writing node's time of day.
-    pub at: u64,
-    /// Jobs whose tasks may be on the machine.
-    pub jobs: Vec<String>,
-}
-
-/// The key that names a machine which may hold tasks.
+/// The key prefix of the roster: machines that may hold tasks, and until when they surely existed,
+/// by the writing node's time of day.
 pub const FLEET_PREFIX: &str = "fleet/";
 
 /// How long a refused kind of machine isn't asked for again.
@@ -449,6 +437,7 @@
                     m.list_status = Some(ListStatus::Starting);
                     m.last_listed = Some(now);
                     m.exists_since = Some(now);
+                    m.recorded = self.enroll(&machine, now);
                     self.machines.insert(machine, m);
                 }
             }
@@ -464,8 +453,8 @@
                 continue;
             }
             let total = self.fleet.room_of(&l.type_name);
-            let (started, unseen) = (self.started, &self.unseen);
-            let noted = self.old_jobs(&l.name);
+            let started = self.started;
+            let recorded = self.enroll(&l.name, now);
             let m = self.machines.entry(l.name.clone()).or_insert_with(|| {
                 let mut m = crate::workers::Machine::new(
                     &l.name,
@@ -476,8 +465,7 @@
                     now,
                 );
                 m.lease_from = started;
-                m.recorded = unseen.contains(&l.name);
-                m.noted = noted;
+                m.recorded = recorded;
                 m.exists_since = Some(now);
                 m.known_since = Moment(now.0.saturating_sub((l.held_s.0 * 1e6) as u64));
                 m
@@ -516,7 +504,7 @@
         for name in &names {
             let existed = match self.machines.get(name) {
                 Some(m) => m.exists_since,
-                None => self.old_records.get(name).map(|r| r.since),
+                None => self.old_records.get(name).copied(),
             };
             if existed.is_some_and(|t| t + oldest < asked) {
                 if self.fleet.unlisted.contains(name) {
@@ -530,9 +518,7 @@
         for name in &gone {
             log::info!("machine {name}: gone from the list");
             self.fleet.unlisted.remove(name);
-            if self.unseen.remove(name) && !self.machines.contains_key(name) {
-                self.unrecord.insert(name.clone());
-            }
+            self.unseen.remove(name);
         }
         self.returned(&gone);
     }
@@ -555,82 +541,30 @@
 
     fn drop_machine(&mut self, name: &str) {
         self.end_session(name);
-        if self.machines.remove(name).is_some_and(|m| m.recorded) {
-            self.unrecord.insert(name.to_string());
-        }
+        self.machines.remove(name);
+        self.fleet.roster.remove(name);
+        self.old_records.remove(name);
     }
 
-    /// Jobs of an earlier term's record that are still known.
-    pub fn old_jobs(&self, machine: &str) -> BTreeSet<JobId> {
-        let record = self.old_records.get(machine);
-        let jobs = record.and_then(|r| r.jobs.as_ref());
-        jobs.into_iter()
-            .flatten()
-            .filter_map(|id| self.jobs.find(id))
-            .collect()
-    }
-
-    /// Machines' records to write, with the jobs they are to name, and to delete.
-    ///
-    /// Jobs of which nothing is left on the machine are dropped on the way. They may not start
-    /// there from this moment on, not only from when the write is answered.
-    pub fn due_fleet_records(&mut self, most: usize) -> (Vec<FleetRecord>, Vec<String>) {
-        let mut writes = Vec::new();
-        for m in self.machines.values_mut() {
-            if writes.len() >= most {
-                break;
-            }
-            if m.to_note.is_empty() || m.returning || !m.counted_in {
-                continue;
-            }
-            let open: BTreeSet<JobId> = m
-                .attempts
-                .iter()
-                .filter(|(_, a)| a.holds() || a.direct != Direct::Settled)
-                .map(|(k, _)| k.0)
-                .collect();
-            m.noted.retain(|id| open.contains(id));
-            m.to_note.retain(|id| open.contains(id));
-            writes.push(FleetRecord {
-                machine: m.name.clone(),
-                jobs: m.noted.union(&m.to_note).copied().collect(),
-            });
+    /// Sees to it that a machine is on the roster; true if it surely is already.
+    pub fn enroll(&mut self, name: &str, now: Moment) -> bool {
+        if self.fleet.roster.contains(name) {
+            return self.unseen.contains(name) || self.old_records.contains_key(name);
         }
-        let left = most - writes.len();
-        let deletes = if self.released {
-            self.unrecord.iter().take(left).cloned().collect()
-        } else {
-            Vec::new()
-        };
-        (writes, deletes)
+        let at = self.wall(now).0;
+        self.fleet.roster.put(name, at);
+        self.urgent_rounds = true;
+        false
     }
 
-    /// The jobs' names, as the record holds them.
-    pub fn names_of(&self, jobs: &BTreeSet<JobId>) -> Vec<String> {
-        jobs.iter()
-            .filter_map(|id| Some(self.jobs.table.get(id)?.spec.id.clone()))
+    /// Pages of the roster that differ from what is stored; without `tidy` only those with new
+    /// machines.
+    pub fn due_roster(&self, tidy: bool) -> Vec<Write> {
+        let due = self.fleet.roster.due(tidy).into_iter();
+        due.map(|image| page_write(FLEET_PREFIX, image, WriteKind::Roster))
             .collect()
     }
 
-    pub fn fleet_recorded(&mut self, written: &[FleetRecord], deleted: &[String]) {
-        for record in written {
-            match self.machines.get_mut(&record.machine) {
-                Some(m) => {
-                    m.recorded = true;
-                    m.to_note.retain(|id| !record.jobs.contains(id));
-                    m.noted.clone_from(&record.jobs);
-                    self.poked.insert(record.machine.clone());
-                }
-                None => {
-                    self.unrecord.insert(record.machine.clone());
-                }
-            }
-        }
-        for name in deleted {
-            self.unrecord.remove(name);
-        }
-    }
-
     /// Chooses machines to return, and names those whose return is due now.
     pub fn plan_returns(&mut self, now: Moment) -> Vec<String> {
         // Ordinary machines cost several times as much, so they go back sooner.
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -1,11 +1,11 @@
 //! The loop that writes records.
 
-use super::rounds::{Write, WriteKind, pack};
-use super::{DoneRecord, JobView};
-use crate::fleet::{FLEET_PREFIX, FleetValue};
+use super::rounds::{CLAIMS_PREFIX, Write, WriteKind, pack};
+use super::{DoneRecord, FinalRecord, JobView};
+use crate::fleet::FLEET_PREFIX;
 use crate::node::Node;
 use crate::state_store::bucket::TokenBucket;
-use crate::state_store::{Change, Commit, StoreError, Urgency, from_value, to_value};
+use crate::state_store::{Commit, StoreError, Urgency, from_value};
 use crate::time::{Micros, Moment};
 use std::time::Duration;
 
@@ -23,7 +23,7 @@
         loop {
             std::thread::sleep(GATHER);
             let now = self.now();
-            let (writes, guard, records, deleted) = {
+            let (writes, guard) = {
                 let mut core = self.core();
                 let Some((lead, cluster)) = core.acting(now) else {
                     drop(
@@ -34,27 +34,35 @@
                     continue;
                 };
                 let guard = lead.guard();
-                let mut writes = cluster.due_finals();
-                writes.truncate(site.write_rps as usize);
+                let available = tokens.available(now);
+                let mut writes = Vec::new();
+                if available >= 0.0 {
+                    // What somebody waits for: users for final states, starts for the rest.
+                    writes = cluster.due_finals(site.txn_ops);
+                    writes.extend(cluster.due_claims());
+                    writes.extend(cluster.due_roster(false));
+                    writes.truncate(site.write_rps as usize);
+                }
                 if now >= next_round {
                     next_round = now + round;
-                    let budget = tokens.available(now).max(0.0) as usize;
-                    let left = budget.saturating_sub(writes.len());
+                    let budget = available.max(0.0) as usize;
+                    let used = |writes: &[Write]| -> usize {
+                        writes.iter().map(|w| w.changes.len()).sum()
+                    };
+                    let left = budget.saturating_sub(used(&writes));
                     writes.extend(cluster.due_sets(left));
-                    let used: usize = writes.iter().map(|w| w.changes.len()).sum();
-                    let left = budget.saturating_sub(used);
+                    let left = budget.saturating_sub(used(&writes));
                     writes.extend(cluster.due_retirements(left, site.txn_ops));
+                    if budget > used(&writes) && !writes.iter().any(Write::is_roster) {
+                        writes.extend(cluster.due_roster(true));
+                    }
                 }
-                let most = site.txn_ops.min(site.write_rps as usize / 2).max(1);
-                let (records, deleted) = cluster.due_fleet_records(most);
-                let records: Vec<_> = records
-                    .into_iter()
-                    .map(|r| (cluster.names_of(&r.jobs), r))
-                    .collect();
-                let idle = writes.is_empty() && records.is_empty() && deleted.is_empty();
-                if idle || now < not_before {
-                    let wait = (next_round - now)
-                        .max(not_before - now)
+                if writes.is_empty() || now < not_before {
+                    let mut wait = (next_round - now).max(not_before - now);
+                    if available < 0.0 {
+                        wait = wait.min(Micros::from_secs_f64(-available / rate));
+                    }
+                    let wait = wait
                         .duration()
                         .clamp(Duration::from_millis(20), Duration::from_millis(2000));
                     drop(
@@ -64,36 +72,8 @@
                     );
                     continue;
                 }
-                (writes, guard, records, deleted)
+                (writes, guard)
             };
-            if !records.is_empty() || !deleted.is_empty() {
-                let at = self.clock.wall().0;
-                let mut changes = Vec::new();
-                let mut written = Vec::new();
-                for (jobs, record) in records {
-                    let key = format!("{FLEET_PREFIX}{}", record.machine);
-                    changes.push(Change::write(key, to_value(&FleetValue { at, jobs })));
-                    written.push(record);
-                }
-                for name in &deleted {
-                    changes.push(Change::delete(format!("{FLEET_PREFIX}{name}")));
-                }
-                tokens.force(changes.len() as f64, self.now());
-                let guards = [guard.clone()];
-                match self.store.multi(&guards, &changes, Urgency::Normal) {
-                    Ok(Commit::Done { .. }) => {
-                        if let Some(cluster) = &mut self.core().cluster {
-                            cluster.fleet_recorded(&written, &deleted);
-                            self.wake(cluster);
-                        }
-                    }
-                    Ok(Commit::Conflict { .. }) => self.core().step_down = true,
-                    Err(e) => {
-                        log::debug!("machines not recorded: {e}");
-                        not_before = self.now() + Micros::from_millis(200);
-                    }
-                }
-            }
             for pack in pack(writes, site.txn_ops) {
                 let mut guards = vec![guard.clone()];
                 guards.extend(pack.iter().flat_map(|w| w.guards.iter().cloned()));
@@ -130,24 +110,28 @@
             return;
         };
         for write in pack {
-            let Some(job) = cluster.jobs.table.get(&write.job) else {
-                continue;
-            };
-            let (id, tasks) = (job.spec.id.clone(), job.spec.tasks);
-            if let WriteKind::Final(outcome) = write.kind {
-                core.finals.note(&id, JobView::of_final(outcome, tasks));
-            }
-            if let (WriteKind::Retire, Some(outcome)) = (&write.kind, job.outcome) {
-                core.finals.note(&id, JobView::of_final(outcome, tasks));
+            if let WriteKind::Final(job, outcome) | WriteKind::Retire(job, outcome) = &write.kind
+                && let Some(job) = cluster.jobs.table.get(job)
+            {
+                let view = JobView::of_final(*outcome, job.spec.tasks);
+                core.finals.note(&job.spec.id, view);
             }
             cluster.written(write, epoch);
         }
+        if cluster.dirty {
+            cluster.place(self.now());
+        }
+        self.wake(cluster);
         self.changed.notify_all();
     }
 
     /// Keys whose stamps were not as expected: an unanswered write of ours was applied.
     fn read_back(&self, failed: &[String]) {
         for key in failed {
+            if key.starts_with(CLAIMS_PREFIX) || key.starts_with(FLEET_PREFIX) {
+                self.read_back_page(key);
+                continue;
+            }
             let Some((id, chunk)) = key
                 .strip_prefix("done/")
                 .and_then(|rest| rest.split_once('/'))
@@ -176,24 +160,51 @@
         self.changed.notify_all();
     }
 
+    /// A page that a write of ours without an answer changed: it is written again over that one,
+    /// which can't be applied any more once its stamp is known.
+    fn read_back_page(&self, key: &str) {
+        let stamp = match self.store.get(key, Urgency::Normal) {
+            Ok(row) => row.map_or(0, |r| r.stamp),
+            Err(e) => {
+                log::debug!("{key} not read back: {e}");
+                return;
+            }
+        };
+        if let Some(cluster) = &mut self.core().cluster
+            && let Some((prefix, number)) = key.split_once('/')
+            && let Ok(number) = number.parse()
+        {
+            match prefix {
+                "claims" => cluster.claims.restamp(number, stamp),
+                _ => cluster.fleet.roster.restamp(number, stamp),
+            }
+        }
+    }
+
     /// A job whose retirement was applied without an answer is gone from `jobs/`.
     fn read_back_job(&self, key: &str) {
         let Some(id) = key.strip_prefix("jobs/") else {
             return;
         };
-        if let Ok(None) = self.store.get(key, Urgency::Normal) {
-            let mut core = self.core();
-            let core = &mut *core;
-            let Some(cluster) = &mut core.cluster else {
-                return;
-            };
-            if let Some(job) = cluster.jobs.get(id)
-                && let Some(outcome) = job.outcome
-            {
-                let view = JobView::of_final(outcome, job.spec.tasks);
-                core.finals.note(id, view);
-                cluster.forget_job(id);
-            }
+        let Ok(None) = self.store.get(key, Urgency::Normal) else {
+            return;
+        };
+        let Ok(Some(row)) = self.store.get(&super::final_key(id), Urgency::Normal) else {
+            return;
+        };
+        let Some(record) = from_value::<FinalRecord>(&row.data) else {
+            log::error!("malformed record {}", row.key);
+            return;
+        };
+        let mut core = self.core();
+        let core = &mut *core;
+        core.finals
+            .note(id, JobView::of_final(record.state, record.tasks));
+        if let Some(cluster) = &mut core.cluster
+            && let Some(job) = cluster.jobs.find(id)
+        {
+            cluster.finish(job, record.state);
+            cluster.forget_job(id);
         }
     }
 }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -110,8 +110,13 @@
     pub team: Option<usize>,
     /// Accepted at this point of this process's clock (may be extrapolated into the past).
     pub accepted_at: Moment,
-    /// Accepted under an earlier term: an unseen machine may still run its tasks.
-    pub held: bool,
+    /// Tasks numbered below this were claimed under an earlier term: a machine not seen yet may
+    /// still run them. 0 once that is settled.
+    pub held_below: u32,
+    /// Tasks numbered below this may start: the claim is on record.
+    pub claimed: u32,
+    /// What the next claim is to cover.
+    pub claim_wanted: u32,
     pub done: TaskSet,
     pub recorded: TaskSet,
     /// Stamps of the done set's keys, 0 where there is none.
@@ -120,7 +125,11 @@
     pub outcome: Option<Outcome>,
     pub cancel_asked: bool,
     /// Attempts that may be on a machine, by task.
-    pub bound: HashMap<u32, u16>,
+    bound: HashMap<u32, u16>,
+    /// How many of these tasks have no outcome.
+    bound_open: u32,
+    /// How many attempts they are.
+    bound_attempts: u32,
     requeued: BTreeSet<u32>,
     cursor: u32,
     /// Machines on which a task failed, since the last success.
@@ -136,16 +145,58 @@
 impl Job {
     /// Tasks that could start now, if there were a place.
     pub fn ready(&self) -> u32 {
-        if self.held || self.cancel_asked || self.outcome.is_some() {
+        if self.cancel_asked || self.outcome.is_some() {
             return 0;
         }
-        self.unbound()
+        self.unbound() - self.held()
     }
 
     /// Tasks neither done nor known to be on a machine.
     pub fn unbound(&self) -> u32 {
-        let bound = self.bound.keys().filter(|t| !self.done.contains(**t));
-        self.spec.tasks - self.done.len() - bound.count() as u32
+        self.spec.tasks - self.done.len() - self.bound_open
+    }
+
+    /// Of these, the ones that may be on a machine not seen yet.
+    pub fn held(&self) -> u32 {
+        (0..self.held_below)
+            .filter(|t| !self.done.contains(*t) && !self.bound.contains_key(t))
+            .count() as u32
+    }
+
+    /// No machine that was not seen can have any of its tasks.
+    pub fn release(&mut self) {
+        if self.held_below > 0 {
+            self.held_below = 0;
+            self.cursor = 0;
+        }
+    }
+
+    pub fn is_bound(&self) -> bool {
+        self.bound_attempts > 0
+    }
+
+    /// Attempts that take of the team's limit, or may do so.
+    pub fn taking(&self) -> u32 {
+        self.bound_attempts + self.held()
+    }
+
+    /// Settles a task as done: true the first time.
+    pub fn settle(&mut self, task: u32) -> bool {
+        let first = self.done.insert(task);
+        if first && self.bound.contains_key(&task) {
+            self.bound_open -= 1;
+        }
+        first
+    }
+
+    /// Asks for a claim that covers the task. Somewhat more is claimed than is placed, so that a
+    /// job that starts bit by bit needs few records.
+    pub fn want_claim(&mut self, task: u32) {
+        if task < self.claimed.max(self.claim_wanted) {
+            return;
+        }
+        let ahead = (task / 2).max(4);
+        self.claim_wanted = (task + 1).saturating_add(ahead).min(self.spec.tasks);
     }
 
     pub fn remaining(&self) -> u32 {
@@ -154,13 +205,14 @@
 
     /// The next task without a place; it stays ready until it is bound.
     pub fn next_ready(&mut self) -> Option<u32> {
-        while let Some(&task) = self.requeued.first() {
+        while let Some(&task) = self.requeued.range(self.held_below..).next() {
             if self.done.contains(task) || self.bound.contains_key(&task) {
                 self.requeued.remove(&task);
             } else {
                 return Some(task);
             }
         }
+        self.cursor = self.cursor.max(self.held_below);
         while self.cursor < self.spec.tasks {
             if self.done.contains(self.cursor) || self.bound.contains_key(&self.cursor) {
                 self.cursor += 1;
@@ -172,17 +224,25 @@
     }
 
     pub fn bind(&mut self, task: u32) {
-        *self.bound.entry(task).or_insert(0) += 1;
+        let n = self.bound.entry(task).or_insert(0);
+        *n += 1;
+        self.bound_attempts += 1;
+        if *n == 1 && !self.done.contains(task) {
+            self.bound_open += 1;
+        }
     }
 
     pub fn unbind(&mut self, task: u32) {
-        if let Some(n) = self.bound.get_mut(&task) {
-            *n -= 1;
-            if *n == 0 {
-                self.bound.remove(&task);
-                if !self.done.contains(task) && task < self.cursor {
-                    self.requeued.insert(task);
-                }
+        let Some(n) = self.bound.get_mut(&task) else {
+            return;
+        };
+        *n -= 1;
+        self.bound_attempts -= 1;
+        if *n == 0 {
+            self.bound.remove(&task);
+            if !self.done.contains(task) {
+                self.bound_open -= 1;
+                self.requeued.insert(task);
             }
         }
     }
@@ -246,13 +306,15 @@
     team: Option<usize>,
     job_stamp: u64,
     accepted_at: Moment,
-    held: bool,
+    claimed: u32,
 ) -> Job {
     let done = TaskSet::new(spec.tasks);
     Job {
         team,
         accepted_at,
-        held,
+        held_below: claimed,
+        claimed,
+        claim_wanted: 0,
         stamps: vec![0; done.chunks() as usize],
         recorded: done.clone(),
         done,
@@ -260,6 +322,8 @@
         outcome: None,
         cancel_asked: false,
         bound: HashMap::new(),
+        bound_open: 0,
+        bound_attempts: 0,
         requeued: BTreeSet::new(),
         cursor: 0,
         failed_on: BTreeSet::new(),
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -1,14 +1,17 @@
 //! Write rounds: which records are due, most urgent first, packed into few transactions.
 
-use super::{DoneRecord, FinalRecord, JobId, Outcome, done_key, final_key, job_key};
+use super::{DoneRecord, FinalRecord, Job, JobId, Outcome, done_key, final_key, job_key};
 use crate::cluster::Cluster;
+use crate::state_store::pages::PageImage;
 use crate::state_store::{Change, Guard, to_value};
 use crate::workers::Direct;
 
-/// One job's write: the changes belong together, and so do their guards.
+/// The key prefix of claims: which tasks of which jobs may have started.
+pub const CLAIMS_PREFIX: &str = "claims/";
+
+/// One write: the changes belong together, and so do their guards.
 #[derive(Clone, Debug)]
 pub struct Write {
-    pub job: JobId,
     pub kind: WriteKind,
     pub guards: Vec<Guard>,
     pub changes: Vec<Change>,
@@ -16,14 +19,50 @@
 
 #[derive(Clone, Debug)]
 pub enum WriteKind {
-    Final(Outcome),
-    Set { chunk: u32, text: String },
-    Retire,
+    Final(JobId, Outcome),
+    Set {
+        job: JobId,
+        chunk: u32,
+        text: String,
+    },
+    /// Only `final/<ref>` stays of the job.
+    Retire(JobId, Outcome),
+    /// Tasks numbered below these may start.
+    Claims(PageImage<u32>),
+    /// These machines may hold tasks.
+    Roster(PageImage<u64>),
+}
+
+impl Write {
+    pub fn is_roster(&self) -> bool {
+        matches!(self.kind, WriteKind::Roster(_))
+    }
+}
+
+/// A page's write, guarded by the page's own stamp.
+pub fn page_write<V: Clone + serde::Serialize>(
+    prefix: &str,
+    image: PageImage<V>,
+    kind: impl Fn(PageImage<V>) -> WriteKind,
+) -> Write {
+    let key = format!("{prefix}{}", image.number);
+    Write {
+        guards: vec![Guard::new(key.clone(), image.stamp)],
+        changes: vec![Change::write(key, to_value(&image.entries))],
+        kind: kind(image),
+    }
 }
 
 impl Cluster {
+    /// Pages of claims that starts wait for.
+    pub fn due_claims(&self) -> Vec<Write> {
+        let due = self.claims.due(false).into_iter();
+        due.map(|image| page_write(CLAIMS_PREFIX, image, WriteKind::Claims))
+            .collect()
+    }
+
     /// Final states that wait: they go out at once.
-    pub fn due_finals(&self) -> Vec<Write> {
+    pub fn due_finals(&self, txn_ops: usize) -> Vec<Write> {
         self.jobs
             .table
             .iter()
@@ -35,14 +74,19 @@
                 } else {
                     Outcome::Cancelled
                 };
+                if j.complete()
+                    && self.leaves_nothing(*id, j)
+                    && let Some(write) = retirement(*id, j, outcome, txn_ops)
+                {
+                    return write;
+                }
                 let key = done_key(&j.spec.id, 0);
                 let record = DoneRecord {
                     state: Some(outcome),
                     set: String::new(),
                 };
                 Write {
-                    job: *id,
-                    kind: WriteKind::Final(outcome),
+                    kind: WriteKind::Final(*id, outcome),
                     // The stamp keeps done and cancelled apart even if an unanswered
                     // transaction of ours is applied late.
                     guards: vec![Guard::new(key.clone(), j.stamps[0])],
@@ -80,8 +124,11 @@
                     set: text.clone(),
                 };
                 writes.push(Write {
-                    job: id,
-                    kind: WriteKind::Set { chunk, text },
+                    kind: WriteKind::Set {
+                        job: id,
+                        chunk,
+                        text,
+                    },
                     guards: vec![Guard::new(key.clone(), job.stamps[chunk as usize])],
                     changes: vec![Change::write(key, to_value(&record))],
                 });
@@ -97,62 +144,26 @@
         let mut ops = 0;
         for (id, job) in &self.jobs.table {
             let Some(outcome) = job.outcome else { continue };
-            // An unseen machine may still run tasks of a held job: its team's limit needs them.
-            if job.held || !job.bound.is_empty() || self.has_open_starts(*id) {
+            if !self.leaves_nothing(*id, job) {
                 continue;
             }
-            let spec_id = &job.spec.id;
-            let mut changes = Vec::new();
-            let mut guards = Vec::new();
-            let chunks: Vec<u32> = (0..job.done.chunks())
-                .rev()
-                .filter(|c| job.stamps[*c as usize] > 0)
-                .collect();
-            let small = chunks.len() + 2 <= txn_ops;
-            for chunk in chunks {
-                if !small && chunk == 0 {
-                    break;
-                }
-                if changes.len() >= txn_ops {
-                    break;
-                }
-                let key = done_key(spec_id, chunk);
-                guards.push(Guard::new(key.clone(), job.stamps[chunk as usize]));
-                changes.push(Change::delete(key));
-            }
-            let kind = if small {
-                changes.push(Change::write(
-                    final_key(spec_id),
-                    to_value(&FinalRecord {
-                        state: outcome,
-                        tasks: job.spec.tasks,
-                    }),
-                ));
-                changes.push(Change::delete(job_key(spec_id)));
-                guards.push(Guard::new(job_key(spec_id), job.job_stamp));
-                WriteKind::Retire
-            } else {
-                // Too many chunks for one transaction: the higher ones go first.
-                let chunk = 0;
-                WriteKind::Set {
-                    chunk,
-                    text: String::new(),
-                }
-            };
-            ops += changes.len();
+            let write = retirement(*id, job, outcome, txn_ops)
+                .unwrap_or_else(|| fewer_chunks(*id, job, txn_ops));
+            ops += write.changes.len();
             if ops > budget {
                 break;
             }
-            writes.push(Write {
-                job: *id,
-                kind,
-                guards,
-                changes,
-            });
+            writes.push(write);
         }
         writes
     }
 
+    /// Nothing of the job can be on any machine, or arrive there.
+    fn leaves_nothing(&self, id: JobId, job: &Job) -> bool {
+        // An unseen machine may still run tasks of a held job: its team's limit needs them.
+        job.held_below == 0 && !job.is_bound() && !self.has_open_starts(id)
+    }
+
     /// A start without an answer may still arrive: its attempt must not be cleared, so its job
     /// stays known.
     fn has_open_starts(&self, id: JobId) -> bool {
@@ -164,19 +175,21 @@
 
     /// A write was committed at this revision.
     pub fn written(&mut self, write: &Write, epoch: u64) {
-        let Some(job) = self.jobs.table.get_mut(&write.job) else {
-            return;
-        };
         match &write.kind {
-            WriteKind::Final(outcome) => {
+            WriteKind::Final(id, outcome) => {
+                let Some(job) = self.jobs.table.get_mut(id) else {
+                    return;
+                };
                 job.stamps[0] = epoch;
-                let outcome = *outcome;
-                if outcome == Outcome::Done {
+                if *outcome == Outcome::Done {
                     job.recorded = job.done.clone();
                 }
-                self.finish(write.job, outcome);
+                self.finish(*id, *outcome);
             }
-            WriteKind::Set { chunk, text } => {
+            WriteKind::Set { job, chunk, text } => {
+                let Some(job) = self.jobs.table.get_mut(job) else {
+                    return;
+                };
                 for change in &write.changes {
                     if let Change::Delete { delete } = change
                         && let Some(c) = delete
@@ -195,9 +208,40 @@
                     let _ = job.recorded.add_chunk(*chunk, text);
                 }
             }
-            WriteKind::Retire => {
-                let id = job.spec.id.clone();
-                self.forget_job(&id);
+            WriteKind::Retire(id, outcome) => {
+                self.finish(*id, *outcome);
+                if let Some(job) = self.jobs.table.get(id) {
+                    let id = job.spec.id.clone();
+                    self.forget_job(&id);
+                }
+            }
+            WriteKind::Claims(image) => {
+                self.claims.written(image.number, image.version, epoch);
+                for (id, below) in &image.entries {
+                    let Some(id) = self.jobs.find(id) else {
+                        continue;
+                    };
+                    if let Some(job) = self.jobs.table.get_mut(&id)
+                        && job.claimed < *below
+                    {
+                        job.claimed = *below;
+                        let waiting = self.awaiting_claim.remove(&id);
+                        self.poked.extend(waiting.into_iter().flatten());
+                    }
+                }
+            }
+            WriteKind::Roster(image) => {
+                self.fleet
+                    .roster
+                    .written(image.number, image.version, epoch);
+                for (name, _) in &image.entries {
+                    if let Some(m) = self.machines.get_mut(name)
+                        && !m.recorded
+                    {
+                        m.recorded = true;
+                        self.dirty = true;
+                    }
+                }
             }
         }
     }
@@ -209,6 +253,8 @@
             return;
         };
         self.jobs.remove(job_id);
+        self.claims.remove(id);
+        self.awaiting_claim.remove(&job_id);
         for m in self.machines.values_mut() {
             m.attempts.retain(|k, _| k.0 != job_id);
         }
@@ -225,6 +271,65 @@
     }
 }
 
+/// The transaction after which only `final/<ref>` is left; None if it has too many chunks.
+fn retirement(id: JobId, job: &Job, outcome: Outcome, txn_ops: usize) -> Option<Write> {
+    let spec_id = &job.spec.id;
+    let chunks: Vec<u32> = stored_chunks(job).collect();
+    if chunks.len() + 2 > txn_ops {
+        return None;
+    }
+    let keys = chunks.iter().map(|c| done_key(spec_id, *c));
+    let mut guards: Vec<Guard> = chunks
+        .iter()
+        .map(|c| Guard::new(done_key(spec_id, *c), job.stamps[*c as usize]))
+        .collect();
+    if job.stamps[0] == 0 {
+        // Else a cancellation of ours that got no answer could stand beside this.
+        guards.push(Guard::new(done_key(spec_id, 0), 0));
+    }
+    guards.push(Guard::new(job_key(spec_id), job.job_stamp));
+    let mut changes: Vec<Change> = keys.map(Change::delete).collect();
+    let record = FinalRecord {
+        state: outcome,
+        tasks: job.spec.tasks,
+    };
+    changes.push(Change::write(final_key(spec_id), to_value(&record)));
+    changes.push(Change::delete(job_key(spec_id)));
+    Some(Write {
+        kind: WriteKind::Retire(id, outcome),
+        guards,
+        changes,
+    })
+}
+
+/// Chunks of the done set that have a key, the highest first.
+fn stored_chunks(job: &Job) -> impl Iterator<Item = u32> + '_ {
+    (0..job.done.chunks())
+        .rev()
+        .filter(|c| job.stamps[*c as usize] > 0)
+}
+
+/// Too many chunks for one transaction: the higher ones go first, the final state last.
+fn fewer_chunks(id: JobId, job: &Job, txn_ops: usize) -> Write {
+    let chunks = stored_chunks(job).filter(|c| *c > 0).take(txn_ops);
+    let (guards, changes) = chunks
+        .map(|c| {
+            let key = done_key(&job.spec.id, c);
+            let guard = Guard::new(key.clone(), job.stamps[c as usize]);
+            (guard, Change::delete(key))
+        })
+        .unzip();
+    Write {
+        kind: WriteKind::Set {
+            job: id,
+            chunk: 0,
+            text: String::new(),
+        },
+        guards,
+        changes,
+    }
+}
+
 /// Packs writes into transactions of at most `ops` changes, keeping each write whole.
 pub fn pack(writes: Vec<Write>, ops: usize) -> Vec<Vec<Write>> {
     let mut packs: Vec<Vec<Write>> = Vec::new();
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -184,10 +184,9 @@
                 let now = self.now();
                 let mut core = self.core();
                 if core.finals.get(&id).is_none()
-                    && let Some((lead, cluster)) = core.acting(now)
+                    && let Some((_, cluster)) = core.acting(now)
                 {
-                    let held = epoch <= lead.stamp;
-                    cluster.add_job(&submission, epoch, held, now, wall);
+                    cluster.add_job(&submission, epoch, now, wall);
                     cluster.place(now);
                     self.wake(cluster);
                 }
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -1,9 +1,10 @@
 //! The loop that takes and keeps the lead.
 
 use super::{LEADER_KEY, Lead, LeaderRecord, Take, hold_until, take};
-use crate::cluster::{Cluster, OldRecord};
-use crate::fleet::{FLEET_PREFIX, FleetValue};
+use crate::cluster::Cluster;
+use crate::fleet::FLEET_PREFIX;
 use crate::jobs::DoneRecord;
+use crate::jobs::rounds::CLAIMS_PREFIX;
 use crate::jobs::spec::Submission;
 use crate::node::Node;
 use crate::state_store::{Change, StoreError, Urgency, from_value, to_value};
@@ -226,7 +227,9 @@
         }
         let skew = Micros::from_secs_f64(self.settings.settings.skew_ms / 500.0);
         let mut jobs_epoch = None;
-        for prefix in ["jobs/", "done/", FLEET_PREFIX] {
+        cluster.wall_at_start = self.clock.wall();
+        // Claims first: a job's own tell what of it may have started.
+        for prefix in [CLAIMS_PREFIX, "jobs/", "done/", FLEET_PREFIX] {
             let mut since: Option<String> = None;
             loop {
                 if !self.renew_if_due(lead.permit, renewed) {
@@ -243,7 +246,9 @@
                         continue;
                     }
                 };
-                jobs_epoch.get_or_insert(page.epoch);
+                if prefix == "jobs/" {
+                    jobs_epoch.get_or_insert(page.epoch);
+                }
                 let (now, wall) = (self.now(), self.clock.wall());
                 for row in &page.rows {
                     since = Some(row.key.clone());
@@ -253,16 +258,30 @@
                             log::error!("malformed record {}", row.key);
                             continue;
                         };
-                        cluster.add_job(&s, row.stamp, row.stamp <= lead.stamp, now, wall);
+                        cluster.add_job(&s, row.stamp, now, wall);
+                    } else if prefix == CLAIMS_PREFIX {
+                        match (rest.parse(), from_value(&row.data)) {
+                            (Ok(n), Some(entries)) => cluster.claims.load(n, row.stamp, entries),
+                            _ => {
+                                log::error!("malformed record {}", row.key);
+                                cluster.claims_lost = true;
+                            }
+                        }
                     } else if prefix == FLEET_PREFIX {
-                        let value = from_value::<FleetValue>(&row.data);
-                        let at = value.as_ref().map_or(wall.0, |v| v.at);
-                        let age = Micros(wall.0.saturating_sub(at)).saturating_sub(skew);
-                        let record = OldRecord {
-                            since: Moment(now.0.saturating_sub(age.0)),
-                            jobs: value.map(|v| v.jobs.into_iter().collect()),
-                        };
-                        cluster.note_unseen(rest, record);
+                        match (rest.parse(), from_value::<Vec<(String, u64)>>(&row.data)) {
+                            (Ok(n), Some(entries)) => {
+                                for (name, at) in &entries {
+                                    let age = wall.0.saturating_sub(*at).saturating_sub(skew.0);
+                                    let since = Moment(now.0.saturating_sub(age));
+                                    cluster.note_unseen(name, since);
+                                }
+                                cluster.fleet.roster.load(n, row.stamp, entries);
+                            }
+                            _ => {
+                                log::error!("malformed record {}", row.key);
+                                cluster.note_unseen(&row.key, now);
+                            }
+                        }
                     } else if let Some((id, chunk)) = rest.split_once('/')
                         && let Ok(chunk) = chunk.parse()
                     {
@@ -277,6 +296,7 @@
                 }
             }
         }
+        cluster.drop_stale_claims();
         self.core().jobs_epoch = jobs_epoch.unwrap_or(lead.stamp);
         Some(cluster)
     }
@@ -319,8 +339,7 @@
                         };
                         // A job that is retired already must not come back by a late event.
                         if core.finals.get(&s.id).is_none() {
-                            let held = event.stamp <= lead.stamp;
-                            cluster.add_job(&s, event.stamp, held, now, wall);
+                            cluster.add_job(&s, event.stamp, now, wall);
                         }
                     }
                     if cluster.dirty && now < lead.valid_until {
@@ -366,7 +385,7 @@
                 if let Some(s) = from_value::<Submission>(&row.data)
                     && core.finals.get(&s.id).is_none()
                 {
-                    cluster.add_job(&s, row.stamp, row.stamp <= lead.stamp, now, wall);
+                    cluster.add_job(&s, row.stamp, now, wall);
                 }
             }
             if !page.more {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -143,11 +143,7 @@
         let mut used = vec![Room::default(); self.config.teams.len()];
         for job in self.jobs.table.values() {
             let Some(team) = job.team else { continue };
-            let mut tasks: i64 = job.bound.values().map(|n| i64::from(*n)).sum();
-            if job.held {
-                tasks += i64::from(job.unbound());
-            }
-            used[team] = used[team].plus(job.spec.need.by(tasks));
+            used[team] = used[team].plus(job.spec.need.by(i64::from(job.taking())));
         }
         used
     }
@@ -212,7 +208,7 @@
         let fresh = m
             .last_report
             .is_some_and(|t| now - t < self.config.report.scaled(2.0));
-        m.counted_in && !m.lost && !m.returning && !m.faulty && !m.recalled && fresh
+        m.counted_in && m.recorded && !m.lost && !m.returning && !m.faulty && !m.recalled && fresh
     }
 
     /// One pass: binds waiting tasks to machines and marks what must make room.
@@ -284,11 +280,12 @@
                 .attempts
                 .insert((id, task, number), Attempt::placed(now));
             machine.idle_since = None;
-            if machine.noted.contains(&id) {
+            if task < job.claimed {
                 self.poked.insert(place.name.clone());
             } else {
-                machine.to_note.insert(id);
-                self.urgent_rounds = true;
+                job.want_claim(task);
+                let waiting = self.awaiting_claim.entry(id).or_default();
+                waiting.insert(place.name.clone());
             }
             let cache_gb = self
                 .fleet
@@ -303,10 +300,15 @@
             place.promised = place.promised.minus(need);
             team_room[team] = team_room[team].minus(need);
         }
-        if let Some(job) = self.jobs.table.get_mut(&id)
-            && job.ready() == 0
-        {
-            job.placed_at.get_or_insert(now);
+        if let Some(job) = self.jobs.table.get_mut(&id) {
+            if job.ready() == 0 {
+                job.placed_at.get_or_insert(now);
+            }
+            let wanted = std::mem::take(&mut job.claim_wanted);
+            if wanted > job.claimed && self.claims.get(&job.spec.id).is_none_or(|c| *c < wanted) {
+                self.claims.put(&job.spec.id, wanted);
+                self.urgent_rounds = true;
+            }
         }
         if waiting > 0 {
             let left = self.jobs.table.get(&id).map_or(0, |j| j.ready());
--- a/src/state_store/mod.rs
+++ b/src/state_store/mod.rs
@@ -1,6 +1,7 @@
 //! The state service: transactions, holds and watches, behind this node's share of the tokens.
 
 pub mod bucket;
+pub mod pages;
 
 use crate::http::cbor::{decode, encode};
 use crate::http::client::{CallError, Client};
--- /dev/null
+++ b/src/state_store/pages.rs
@@ -0,0 +1,147 @@
+//! Many small entries packed into few values.
+//!
+//! A state service takes a few dozen changes a second, however small they are. What changes often
+//! and is tiny (which machines may hold tasks, which tasks may have started) therefore shares
+//! values: a page holds up to [`PAGE_ENTRIES`] entries and is written whole. Each write guards
+//! the page's own stamp, so that an unanswered older one can't undo it when it is applied late.
+
+use std::collections::{BTreeMap, HashMap};
+
+/// Entries on a page: with the longest names that are taken it stays below the smallest limit for
+/// values that the settings allow.
+pub const PAGE_ENTRIES: usize = 64;
+
+#[derive(Debug)]
+struct Page<V> {
+    stamp: u64,
+    entries: BTreeMap<String, V>,
+    /// Counts changes; what was written is known by the count it carries.
+    version: u64,
+    /// The last change that somebody waits for.
+    awaited: u64,
+    stored: u64,
+}
+
+/// A page as it is to be written.
+#[derive(Clone, Debug)]
+pub struct PageImage<V> {
+    pub number: u32,
+    pub stamp: u64,
+    pub version: u64,
+    pub entries: Vec<(String, V)>,
+}
+
+#[derive(Debug)]
+pub struct Pages<V> {
+    index: HashMap<String, u32>,
+    pages: BTreeMap<u32, Page<V>>,
+}
+
+impl<V> Default for Pages<V> {
+    fn default() -> Self {
+        Pages {
+            index: HashMap::new(),
+            pages: BTreeMap::new(),
+        }
+    }
+}
+
+impl<V: Clone> Pages<V> {
+    /// Takes in a page as it was read.
+    pub fn load(&mut self, number: u32, stamp: u64, entries: Vec<(String, V)>) {
+        for (key, _) in &entries {
+            self.index.insert(key.clone(), number);
+        }
+        let page = Page {
+            stamp,
+            entries: entries.into_iter().collect(),
+            version: 0,
+            awaited: 0,
+            stored: 0,
+        };
+        self.pages.insert(number, page);
+    }
+
+    /// Sets an entry; its page is due at once.
+    pub fn put(&mut self, key: &str, value: V) {
+        let number = match self.index.get(key) {
+            Some(number) => *number,
+            None => {
+                let roomy = self.pages.iter();
+                let number = roomy
+                    .filter(|(_, p)| p.entries.len() < PAGE_ENTRIES)
+                    .map(|(n, _)| *n)
+                    .next()
+                    .unwrap_or_else(|| self.pages.keys().last().map_or(0, |n| n + 1));
+                self.index.insert(key.to_string(), number);
+                number
+            }
+        };
+        let page = self.pages.entry(number).or_insert_with(|| Page {
+            stamp: 0,
+            entries: BTreeMap::new(),
+            version: 0,
+            awaited: 0,
+            stored: 0,
+        });
+        page.entries.insert(key.to_string(), value);
+        page.version += 1;
+        page.awaited = page.version;
+    }
+
+    /// Drops an entry; its page may be written when there is time.
+    pub fn remove(&mut self, key: &str) {
+        if let Some(number) = self.index.remove(key)
+            && let Some(page) = self.pages.get_mut(&number)
+        {
+            page.entries.remove(key);
+            page.version += 1;
+        }
+    }
+
+    pub fn contains(&self, key: &str) -> bool {
+        self.index.contains_key(key)
+    }
+
+    pub fn get(&self, key: &str) -> Option<&V> {
+        let page = self.pages.get(self.index.get(key)?)?;
+        page.entries.get(key)
+    }
+
+    pub fn keys(&self) -> impl Iterator<Item = &String> {
+        self.index.keys()
+    }
+
+    /// Pages that somebody waits for, or, with `tidy`, all that differ from what is stored.
+    pub fn due(&self, tidy: bool) -> Vec<PageImage<V>> {
+        self.pages
+            .iter()
+            .filter(|(_, p)| p.stored < if tidy { p.version } else { p.awaited })
+            .map(|(number, p)| PageImage {
+                number: *number,
+                stamp: p.stamp,
+                version: p.version,
+                entries: p
+                    .entries
+                    .iter()
+                    .map(|(k, v)| (k.clone(), v.clone()))
+                    .collect(),
+            })
+            .collect()
+    }
+
+    /// This image was committed at this revision.
+    pub fn written(&mut self, number: u32, version: u64, stamp: u64) {
+        if let Some(page) = self.pages.get_mut(&number) {
+            page.stamp = stamp;
+            page.stored = page.stored.max(version);
+        }
+    }
+
+    /// The page's stamp as it was read back after a conflict: it is written again over it.
+    pub fn restamp(&mut self, number: u32, stamp: u64) {
+        if let Some(page) = self.pages.get_mut(&number) {
+            page.stamp = stamp;
+        }
+    }
+}
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -108,12 +108,8 @@
     pub lost: bool,
     /// Nothing of an earlier term can be on it, though it may not be counted in.
     pub session_over: bool,
-    /// Its key may be in the state service.
+    /// It is on the roster in the state service: tasks may start here.
     pub recorded: bool,
-    /// Jobs that its record names: only their tasks may start here.
-    pub noted: BTreeSet<JobId>,
-    /// Jobs placed here that wait for the record.
-    pub to_note: BTreeSet<JobId>,
     /// The lease can't have been renewed by anyone after this.
     pub lease_from: Moment,
     pub last_report: Option<Moment>,
@@ -180,8 +176,6 @@
             lost: false,
             session_over: false,
             recorded: false,
-            noted: BTreeSet::new(),
-            to_note: BTreeSet::new(),
             lease_from: now,
             last_report: None,
             recalled: false,
@@ -258,10 +252,9 @@
                 now,
             );
             machine.lease_from = self.started;
-            machine.recorded = self.unseen.contains(&report.machine);
-            machine.noted = self.old_jobs(&report.machine);
+            machine.recorded = self.enroll(&report.machine, now);
             // A report may be late, and its machine gone: only a list or a rental proves more.
-            machine.exists_since = self.old_records.get(&report.machine).map(|r| r.since);
+            machine.exists_since = self.old_records.get(&report.machine).copied();
             self.machines.insert(report.machine.clone(), machine);
         }
         let Some(machine) = self.machines.get_mut(&report.machine) else {
@@ -402,7 +395,7 @@
                 match cause {
                     wire::Cause::Done => {
                         // The first settle wins; a later attempt's outcome changes nothing.
-                        if job.done.insert(number) && job.complete() {
+                        if job.settle(number) && job.complete() {
                             self.urgent_rounds = true;
                         }
                         job.failed_on.clear();
@@ -571,7 +564,7 @@
                         }
                         continue;
                     }
-                    if !machine.noted.contains(&key.0) {
+                    if key.1 >= job.claimed || !machine.recorded {
                         continue;
                     }
                     attempt.sent = Some(here);
@@ -622,7 +615,8 @@
             };
             let verb = match (attempt.status, attempt.wanted) {
                 (None, Wanted::Run)
-                    if machine.noted.contains(&key.0)
+                    if key.1 < job.claimed
+                        && machine.recorded
                         && attempt.sent.is_none()
                         && attempt.direct == Direct::Settled
                         && !job.cancel_asked
--- a/tests/common/trace.rs
+++ b/tests/common/trace.rs
@@ -1,6 +1,6 @@
 //! A small world for traces: events go into a `Cluster`, and what it wants is written down.
 
-use aspenreel::cluster::{Cluster, ClusterConfig, OldRecord};
+use aspenreel::cluster::{Cluster, ClusterConfig};
 use aspenreel::fleet::wire::{Catalog, ListedMachine};
 use aspenreel::http::cbor::{Decimal, decode, encode};
 use aspenreel::jobs::rounds::{Write as RecordWrite, WriteKind};
@@ -129,18 +129,27 @@
     }
 
     pub fn job(&mut self, submission: Submission) -> &mut Self {
-        self.accepted(submission, false)
+        self.accepted(submission, 0)
     }
 
+    /// A job of which an earlier term claimed every task.
     pub fn old_job(&mut self, submission: Submission) -> &mut Self {
-        self.accepted(submission, true)
+        let claimed = submission.pieces as u32;
+        self.accepted(submission, claimed)
     }
 
-    fn accepted(&mut self, s: Submission, held: bool) -> &mut Self {
+    /// A job of which an earlier term claimed the first tasks.
+    pub fn accepted(&mut self, s: Submission, claimed: u32) -> &mut Self {
         self.epoch += 1;
+        let mut earlier = String::new();
+        if claimed > 0 {
+            let page = self.epoch as u32;
+            let entries = vec![(s.id.clone(), claimed)];
+            self.cluster.claims.load(page, self.epoch, entries);
+            earlier = format!(" under an earlier term, {claimed} claimed");
+        }
         self.cluster
-            .add_job(&s, self.epoch, held, self.now, WallTime(s.accepted_us));
-        let earlier = if held { " under an earlier term" } else { "" };
+            .add_job(&s, self.epoch, self.now, WallTime(s.accepted_us));
         self.note(&format!(
             "{} accepted{earlier}: {} x {} CPUs, {:?}",
             s.id, s.pieces, s.cpus.0, s.rank
@@ -174,7 +183,7 @@
     }
 
     pub fn send(&mut self, report: &Report) -> &mut Self {
-        // In a trace machines' records are written as soon as they are due.
+        // In a trace claims and the roster are written as soon as they are due.
         self.cluster.place(self.now);
         self.record_fleet();
         let answer = self.cluster.check_in(report, self.now);
@@ -204,21 +213,23 @@
         self
     }
 
+    /// Writes what starts wait for.
     pub fn record_fleet(&mut self) {
-        let (added, deleted) = self.cluster.due_fleet_records(100);
-        if !added.is_empty() || !deleted.is_empty() {
-            self.cluster.fleet_recorded(&added, &deleted);
+        let mut writes = self.cluster.due_claims();
+        writes.extend(self.cluster.due_roster(true));
+        for write in &writes {
+            self.epoch += 1;
+            self.cluster.written(write, self.epoch);
         }
     }
 
-    /// A machine that an earlier term recorded, with jobs that may be on it.
-    pub fn recorded(&mut self, machine: &str, since: f64, jobs: &[&str]) -> &mut Self {
-        let jobs = jobs.iter().map(|j| j.to_string()).collect();
-        let record = OldRecord {
-            since: at(since),
-            jobs: Some(jobs),
-        };
-        self.cluster.note_unseen(machine, record);
+    /// A machine on an earlier term's roster.
+    pub fn recorded(&mut self, machine: &str, since: f64) -> &mut Self {
+        self.epoch += 1;
+        let page = self.epoch as u32;
+        let entries = vec![(machine.to_string(), 0)];
+        self.cluster.fleet.roster.load(page, self.epoch, entries);
+        self.cluster.note_unseen(machine, at(since));
         self
     }
 
@@ -253,17 +264,20 @@
 
     /// One write round; `commit` says whether the state service took it.
     pub fn round(&mut self, commit: bool) -> &mut Self {
-        let mut writes: Vec<RecordWrite> = self.cluster.due_finals();
+        let mut writes: Vec<RecordWrite> = self.cluster.due_finals(12);
         writes.extend(self.cluster.due_sets(100));
         writes.extend(self.cluster.due_retirements(100, 12));
         let told: Vec<String> = writes
             .iter()
             .map(|w| {
-                let id = &self.cluster.jobs.table[&w.job].spec.id;
+                let id = |job| &self.cluster.jobs.table[job].spec.id;
                 match &w.kind {
-                    WriteKind::Final(o) => format!("{id} is {o:?}"),
-                    WriteKind::Set { chunk, text } => format!("{id} chunk {chunk} = {text:.40}"),
-                    WriteKind::Retire => format!("{id} retired"),
+                    WriteKind::Final(j, o) => format!("{} is {o:?}", id(j)),
+                    WriteKind::Set { job, chunk, text } => {
+                        format!("{} chunk {chunk} = {text:.40}", id(job))
+                    }
+                    WriteKind::Retire(j, o) => format!("{} is {o:?} and retired", id(j)),
+                    other => format!("{other:?}"),
                 }
             })
             .collect();
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -62,8 +62,8 @@
 #[test]
 fn takeover_waits_for_recorded_machines() {
     let mut w = World::new(5, one_team());
-    w.recorded("big-east-1", -100.0, &["run-1"]);
-    w.recorded("big-east-2", -100.0, &["run-1"]);
+    w.recorded("big-east-1", -100.0);
+    w.recorded("big-east-2", -100.0);
     w.old_job(submission("run-1", |s| s.pieces = 2));
     w.at(0.2).job(submission("run-2", |s| s.pieces = 1));
     let old_token = w.report("big-east-1", 4, 1, &["run-1/0#4.1 running"]);
@@ -79,7 +79,7 @@
 #[test]
 fn takeover_waits_a_lease_for_a_silent_machine() {
     let mut w = World::new(5, one_team());
-    w.recorded("big-east-9", -1.0, &["run-1"]);
+    w.recorded("big-east-9", -1.0);
     w.old_job(submission("run-1", |s| s.pieces = 1));
     for t in [1.0, 10.0, 20.0, 20.4] {
         w.at(t).check_in("big-east-1", &[]);
@@ -93,8 +93,8 @@
 #[test]
 fn unlisted_machines_are_gone() {
     let mut w = World::new(5, one_team());
-    w.recorded("big-east-9", -60.0, &["run-1"]);
-    w.recorded("big-east-8", -2.0, &["run-1"]);
+    w.recorded("big-east-9", -60.0);
+    w.recorded("big-east-8", -2.0);
     w.old_job(submission("run-1", |s| s.pieces = 1));
     w.at(1.0).check_in("big-east-1", &[]);
     w.at(2.0).list(&[("big-east-1", "running")]);
@@ -202,10 +202,10 @@
 #[test]
 fn quota_counts_unseen_machines() {
     let mut w = World::new(2, vec![team("a", 8.0, 12.0)]);
-    w.recorded("big-east-9", -1.0, &["run-1"]);
+    w.recorded("big-east-9", -1.0);
     w.old_job(submission("run-1", |s| s.pieces = 2));
     w.at(0.1).job(submission("run-2", |s| s.pieces = 3));
-    w.at(1.0).check_in("big-east-1", &[]).bound();
+    w.at(1.0).check_in("big-east-1", &[]).tick(1.1).bound();
     let seen = w.report("big-east-9", 2, 1, &["run-1/0#1.1 running"]);
     w.at(2.0).send(&seen).bound();
     assert_snapshot!(w.log);
@@ -298,7 +298,7 @@
     w.job(submission("run-1", |s| s.pieces = 100_000));
     let id = w.cluster.jobs.find("run-1").unwrap();
     for task in (0..100_000).filter(|t| t % 7 != 3) {
-        w.cluster.jobs.table.get_mut(&id).unwrap().done.insert(task);
+        w.cluster.jobs.table.get_mut(&id).unwrap().settle(task);
     }
     let writes = w.cluster.due_sets(1000);
     let longest = writes
@@ -315,7 +315,7 @@
     next.old_job(submission("run-1", |s| s.pieces = 100_000));
     for write in &writes {
         w.cluster.written(write, 500);
-        if let aspenreel::jobs::rounds::WriteKind::Set { chunk, text } = &write.kind {
+        if let aspenreel::jobs::rounds::WriteKind::Set { chunk, text, .. } = &write.kind {
             let record = aspenreel::jobs::DoneRecord {
                 state: None,
                 set: text.clone(),
@@ -328,7 +328,6 @@
     w.cluster.ask_cancel("run-1");
     w.round(true);
     // More chunks than a transaction holds: they go in steps, the final record last.
-    w.cluster.released = true;
     w.round(true).round(true).view("run-1");
     assert_snapshot!(w.log);
 }
@@ -367,7 +366,7 @@
 #[test]
 fn returns() {
     let mut w = World::new(4, one_team());
-    w.recorded("big-east-1", -300.0, &[]);
+    w.recorded("big-east-1", -300.0);
     w.at(1.0)
         .list(&[("big-east-1", "running"), ("small-west-2", "starting")]);
     let due = w.cluster.plan_returns(at(1.0));
@@ -383,35 +382,53 @@
     assert_snapshot!(w.log);
 }
 
-/// Only jobs that an unseen machine's record names wait for it.
+/// Only claimed tasks wait for an unseen machine: what was never claimed starts at once.
 #[test]
 fn takeover_holds_only_what_may_be_unseen() {
     let mut w = World::new(5, one_team());
-    w.recorded("big-east-9", -50.0, &["run-1"]);
-    w.recorded("big-east-1", -50.0, &["run-1", "run-2"]);
-    w.old_job(submission("run-1", |s| s.pieces = 1));
+    w.recorded("big-east-9", -50.0);
+    w.recorded("big-east-1", -50.0);
+    w.accepted(submission("run-1", |s| s.pieces = 4), 2);
     w.old_job(submission("run-2", |s| s.pieces = 1));
-    w.at(1.0).check_in("big-east-1", &[]).tick(1.2).bound();
+    w.accepted(submission("run-3", |s| s.pieces = 1), 0);
+    w.at(1.0)
+        .check_in("big-east-1", &["run-1/1#4.2 running"])
+        .tick(1.2)
+        .bound();
+    // A claimed task that comes back is not free either: a later attempt may be unseen.
     w.at(4.0)
-        .check_in("big-east-1", &["run-2/0#5.1 running"])
+        .check_in("big-east-1", &["run-1/1#4.2 stopped"])
         .bound();
-    w.at(20.0).check_in("big-east-1", &["run-2/0#5.1 running"]);
+    w.at(20.0).check_in("big-east-1", &[]);
     w.tick(20.6).bound();
     assert_snapshot!(w.log);
 }
 
-/// A task starts on a machine only once the machine's record names its job.
+/// A task starts only once its job's claim is recorded, and only on a recorded machine.
 #[test]
 fn no_start_before_the_record() {
     let mut w = World::new(2, one_team());
-    w.check_in("big-east-1", &[]);
-    w.at(1.0).job(submission("run-1", |s| s.pieces = 1));
+    let first = w.report("big-east-1", 2, 1, &[]);
+    w.cluster.check_in(&first, at(0.0));
+    w.at(1.0).job(submission("run-1", |s| s.pieces = 9));
+    w.cluster.tick(at(1.0));
+    w.bound();
+    for write in w.cluster.due_roster(false) {
+        w.cluster.written(&write, 7);
+    }
     w.cluster.tick(at(1.0));
     w.bound().direct(|_| unreachable!());
-    let (records, _) = w.cluster.due_fleet_records(10);
-    let names = w.cluster.names_of(&records[0].jobs);
-    w.note(&format!("{} is to name {names:?}", records[0].machine));
-    w.cluster.fleet_recorded(&records, &[]);
+    let claims = w.cluster.due_claims();
+    for write in &claims {
+        w.note(&format!("to be written: {:?}", write.kind));
+    }
+    // The page changes while it is being written: it stays due, over its own stamp.
+    w.job(submission("run-2", |s| s.pieces = 1));
+    w.cluster.tick(at(1.0));
+    w.cluster.written(&claims[0], 8);
+    for write in w.cluster.due_claims() {
+        w.note(&format!("to be written: {:?}", write.kind));
+    }
     w.at(1.1)
         .direct(|w| DirectResult::Report(w.report("big-east-1", 2, 1, &["run-1/0#2.1 running"])));
     assert_snapshot!(w.log);
