--- a/src/cli.rs
+++ b/src/cli.rs
@@ -48,6 +48,11 @@
     #[arg(long, env = "ASPENREEL_DEAR_PATIENCE_MS", default_value_t = 120_000,
           value_parser = clap::value_parser!(u64).range(0..=86_400_000))]
     pub dear_patience_ms: u64,
+    /// A job of which nothing has started for this long goes before all others with its first
+    /// tasks, in milliseconds
+    #[arg(long, env = "ASPENREEL_PATIENCE_MS", default_value_t = 90_000,
+          value_parser = clap::value_parser!(u64).range(1000..=86_400_000))]
+    pub patience_ms: u64,
     /// Room kept ready where objectives tell of waiting times, in percent of the CPUs in use
     #[arg(long, env = "ASPENREEL_RESERVE", default_value_t = 50,
           value_parser = clap::value_parser!(u64).range(0..=1000))]
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -27,6 +27,8 @@
     /// Share of the CPUs in use that is kept ready where objectives tell of waiting times.
     pub reserve: f64,
     pub objectives: Vec<Objective>,
+    /// A job that has not begun for this long goes before all others with its first tasks.
+    pub patience: Micros,
 }
 
 /// Beside clock drift, allow for timers and for time between reading a clock and sending.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -231,7 +231,7 @@
             .machines
             .values()
             .filter(|m| !m.returning && !m.faulty && !m.recalled && !m.lost)
-            .filter(|m| m.list_status != Some(ListStatus::Failed))
+            .filter(|m| m.list_status != Some(ListStatus::Failed) && !self.deaf(m, now))
             .filter_map(|m| self.bin_of(m, now))
             .collect();
         let offers = self.fleet.offers();
@@ -372,6 +372,16 @@
             .map(|(offer, _)| offer.clone())
     }
 
+    /// True for a machine whose reports arrive but which answers don't seem to reach: it takes no
+    /// work, so another one is rented in its place. A short doubt changes nothing.
+    fn deaf(&self, m: &crate::workers::Machine, now: Moment) -> bool {
+        let lease = self.lease_span();
+        let uncounted = m.last_report.is_some()
+            && !m.counted_in
+            && now - m.known_since.max(self.started) > lease;
+        uncounted || m.doubt.is_some_and(|d| now - d.since > lease.scaled(0.5))
+    }
+
     /// When room gets free on a machine, as far as can be told.
     fn bin_of(&self, m: &crate::workers::Machine, now: Moment) -> Option<Bin> {
         let type_index = self
@@ -578,6 +588,7 @@
             .map(|t| (t.name.clone(), t.boot))
             .collect();
         let mut spare = self.spare_cpu();
+        let started = self.started;
         for m in self.machines.values_mut() {
             if m.returning {
                 continue;
@@ -599,11 +610,17 @@
             let mute = m.last_report.is_none()
                 && now - self.started.max(m.known_since) > lease.scaled(2.0) + boot.scaled(4.0);
             let silent = m.lost && m.last_report.is_some_and(|t| now - t > lease.scaled(1.5));
+            // Its reports arrive, but it hears nothing, and not only for a while.
+            let unheard = m.doubt.is_some_and(|d| now - d.since > lease.scaled(2.0))
+                || (m.last_report.is_some()
+                    && !m.counted_in
+                    && now - m.known_since.max(started) > lease.scaled(2.0));
+            let deaf = unheard && !m.busy();
             // A recalled machine is charged to the end, and only its return proves it empty.
             let faulty = (m.faulty || m.recalled) && !m.busy();
-            if (idle && m.counted_in) || never_up || mute || silent || faulty {
+            if (idle && m.counted_in) || never_up || mute || silent || faulty || deaf {
                 log::info!(
-                    "machine {}: to be returned (idle {idle}, never up {never_up}, silent {silent}, faulty {faulty})",
+                    "machine {}: to be returned (idle {idle}, never up {never_up}, silent {silent}, faulty {faulty}, deaf {deaf})",
                     m.name
                 );
                 m.returning = true;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -14,6 +14,9 @@
 const REQUEST_TIME: Duration = Duration::from_secs(5);
 /// A connection without a request is closed after this long.
 const IDLE_TIME: Duration = Duration::from_secs(60);
+/// While most of the connections are taken, idle ones go sooner, before new ones are refused.
+/// Longer than workers and users are silent in between.
+const SCARCE_IDLE_TIME: Duration = Duration::from_secs(10);
 const MAX_HEADERS: usize = 48;
 
 #[derive(Debug)]
@@ -105,8 +108,12 @@
                         self.0.fetch_sub(1, Ordering::Relaxed);
                     }
                 }
+                let scarce = {
+                    let count = count.clone();
+                    move || count.load(Ordering::Relaxed) * 4 > cap * 3
+                };
                 let _leave = Leave(count);
-                connection(stream, handler.as_ref(), &clock);
+                connection(stream, handler.as_ref(), &clock, &scarce);
             });
         if let Err(e) = spawned {
             open.fetch_sub(1, Ordering::Relaxed);
@@ -121,13 +128,18 @@
     Gone,
 }
 
-fn connection(mut stream: TcpStream, handler: &dyn Handler, clock: &Clock) {
+fn connection(
+    mut stream: TcpStream,
+    handler: &dyn Handler,
+    clock: &Clock,
+    scarce: &dyn Fn() -> bool,
+) {
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(REQUEST_TIME));
     let _ = stream.set_write_timeout(Some(REQUEST_TIME));
     let mut buf = Vec::new();
     loop {
-        let (response, close) = match read_request(&mut stream, &mut buf) {
+        let (response, close) = match read_request(&mut stream, &mut buf, scarce) {
             Read1::Request { request, close } => (handler.handle(request), close),
             Read1::Refuse(status) => (Response::new(status, Vec::new()), true),
             Read1::Gone => return,
@@ -156,7 +168,11 @@
     }
 }
 
-fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Read1 {
+fn idle(scarce: bool) -> Duration {
+    if scarce { SCARCE_IDLE_TIME } else { IDLE_TIME }
+}
+
+fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>, scarce: &dyn Fn() -> bool) -> Read1 {
     let waiting_since = Instant::now();
     let mut begun: Option<Instant> = (!buf.is_empty()).then(Instant::now);
     let mut chunk = [0u8; 4096];
@@ -217,7 +233,7 @@
             Some(true) => {
                 begun.get_or_insert_with(Instant::now);
             }
-            Some(false) if begun.is_none() && waiting_since.elapsed() < IDLE_TIME => {}
+            Some(false) if begun.is_none() && waiting_since.elapsed() < idle(scarce()) => {}
             _ => return Read1::Gone,
         }
     }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -130,6 +130,8 @@
     bound_open: u32,
     /// How many attempts they are.
     bound_attempts: u32,
+    /// A report showed one of its tasks running.
+    pub begun: bool,
     requeued: BTreeSet<u32>,
     cursor: u32,
     /// Machines on which a task failed, since the last success.
@@ -171,6 +173,11 @@
         }
     }
 
+    /// Some task of it has a place, had one, or may have had one.
+    pub fn begun(&self) -> bool {
+        self.bound_attempts > 0 || self.begun || !self.done.is_empty()
+    }
+
     pub fn is_bound(&self) -> bool {
         self.bound_attempts > 0
     }
@@ -324,6 +331,7 @@
         bound: HashMap::new(),
         bound_open: 0,
         bound_attempts: 0,
+        begun: false,
         requeued: BTreeSet::new(),
         cursor: 0,
         failed_on: BTreeSet::new(),
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -4,9 +4,10 @@
 use super::{DoneRecord, FinalRecord, JobView, ViewState, done_key, final_key, job_key};
 use crate::http::cbor::{decode, encode};
 use crate::http::server::Response;
-use crate::leadership::peer::{PeerReply, PeerRequest};
+use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest};
 use crate::node::Node;
 use crate::state_store::{Change, Commit, Guard, StoreError, Urgency, from_value, to_value};
+use crate::time::{Micros, Moment};
 use serde::{Deserialize, Serialize};
 use std::time::{Duration, Instant};
 
@@ -63,19 +64,45 @@
 /// When a user who was refused should come back, in seconds.
 const RETRY_S: u32 = 1;
 const PEER_TIME: Duration = Duration::from_millis(500);
+const PING_TIME: Duration = Duration::from_millis(150);
+/// Without a word of the state service for this long, a node looks for company.
+const ALONE: Micros = Micros::from_secs(6);
+/// Users wait two seconds for a status: what can't be found out by then is said to be unknown.
+const LOOKUP_TIME: Duration = Duration::from_millis(1600);
+/// Reads for users are given up sooner than others, so that a peer can still be asked.
+const READ_TIME: Duration = Duration::from_millis(700);
 /// A withdrawal is answered once it is recorded, or else refused after this.
 const WITHDRAW_TIME: Duration = Duration::from_millis(2000);
 
 impl Node {
     /// Any node that knows the machine types can take requests, leader or not.
+    ///
+    /// Without the state service and without any peer it can't tell a user anything. In an outage
+    /// that all nodes feel there are still peers, and it stays up.
     pub fn up(&self) -> Response {
-        if self.catalog().is_some() {
+        if self.catalog().is_none() {
+            return Response::busy(RETRY_S);
+        }
+        let now = self.now();
+        if now - self.store.last_answer() < ALONE || self.has_company(now) {
             Response::new(200, Vec::new())
         } else {
             Response::busy(RETRY_S)
         }
     }
 
+    /// Whether any peer answers; asked at most once a second.
+    fn has_company(&self, now: Moment) -> bool {
+        let (asked, found) = self.core().company;
+        if now - asked < Micros::from_secs(1) {
+            return found;
+        }
+        let answers = |p: &PeerClient| p.call(&PeerRequest::Ping, PING_TIME).is_ok();
+        let found = self.peers.is_empty() || self.peers.values().any(answers);
+        self.core().company = (self.now(), found);
+        found
+    }
+
     pub fn submit(&self, body: &[u8]) -> Response {
         let submission = match Submission::decode(body) {
             Ok(s) => s,
@@ -122,7 +149,7 @@
                 let request = PeerRequest::Accept {
                     body: encode(&submission),
                 };
-                match self.ask_any(&request) {
+                match self.ask_any(&request, Instant::now() + LOOKUP_TIME) {
                     Some(PeerReply::Job(view)) => short(201, &id, view.state),
                     _ => Response::busy(RETRY_S),
                 }
@@ -148,6 +175,9 @@
 
     /// A peer that the state service refuses asks this node to read.
     pub fn read_for_peer(&self, id: &str) -> PeerReply {
+        if let Some(view) = self.view_here(id) {
+            return PeerReply::Job(view);
+        }
         match self.read_job(id) {
             Ok(Some(view)) => PeerReply::Job(view),
             Ok(None) => PeerReply::Absent,
@@ -155,11 +185,20 @@
         }
     }
 
-    /// Asks the other nodes in turn until one can tell.
-    fn ask_any(&self, request: &PeerRequest) -> Option<PeerReply> {
-        self.peers
-            .values()
-            .filter_map(|peer| peer.call(request, PEER_TIME).ok())
+    /// Asks the other nodes in turn until one can tell, beginning anywhere: with the same one
+    /// always first, a dead one would cost every question its time.
+    fn ask_any(&self, request: &PeerRequest, deadline: Instant) -> Option<PeerReply> {
+        let peers: Vec<&PeerClient> = self.peers.values().collect();
+        let first = fastrand::usize(0..peers.len().max(1));
+        (0..peers.len())
+            .map(|i| peers[(first + i) % peers.len()])
+            .filter_map(|peer| {
+                let left = deadline.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    return None;
+                }
+                peer.call(request, PEER_TIME.min(left)).ok()
+            })
             .find(|reply| matches!(reply, PeerReply::Job(_) | PeerReply::Absent))
     }
 
@@ -310,44 +349,46 @@
         if let Some(view) = self.view_here(id) {
             return Lookup::Job(view);
         }
+        let deadline = Instant::now() + LOOKUP_TIME;
         let request = PeerRequest::Status { id: id.to_string() };
         if let Some(PeerReply::Job(view)) = self.ask_leader(&request, PEER_TIME) {
             self.core().finals.note(id, view);
             return Lookup::Job(view);
         }
-        match self.read_job(id) {
-            Ok(Some(view)) => {
+        if self.store.answers(self.now()) {
+            match self.read_job(id) {
+                Ok(Some(view)) => {
+                    self.core().finals.note(id, view);
+                    return Lookup::Job(view);
+                }
+                Ok(None) => return Lookup::Absent,
+                Err(e) => log::debug!("{id} can't be looked up here: {e}"),
+            }
+        }
+        let request = PeerRequest::Read { id: id.to_string() };
+        match self.ask_any(&request, deadline) {
+            Some(PeerReply::Job(view)) => {
                 self.core().finals.note(id, view);
                 Lookup::Job(view)
             }
-            Ok(None) => Lookup::Absent,
-            Err(e) => {
-                log::debug!("{id} can't be looked up here: {e}");
-                let request = PeerRequest::Read { id: id.to_string() };
-                match self.ask_any(&request) {
-                    Some(PeerReply::Job(view)) => {
-                        self.core().finals.note(id, view);
-                        Lookup::Job(view)
-                    }
-                    Some(PeerReply::Absent) => Lookup::Absent,
-                    _ => Lookup::Undecided,
-                }
-            }
+            Some(PeerReply::Absent) => Lookup::Absent,
+            _ => Lookup::Undecided,
         }
     }
 
     /// What the state service knows. The order matters: a job's record is deleted in the same
     /// transaction that writes its final one, so whoever misses the first finds the second.
     fn read_job(&self, id: &str) -> Result<Option<JobView>, StoreError> {
-        if let Some(row) = self.store.get(&job_key(id), Urgency::Normal)? {
+        let get = |key: &str| self.store.get_within(key, Urgency::Normal, READ_TIME);
+        if let Some(row) = get(&job_key(id))? {
             let tasks = from_value::<Submission>(&row.data).map_or(0, |s| s.pieces as u32);
-            if let Some(done) = self.store.get(&done_key(id, 0), Urgency::Normal)? {
+            if let Some(done) = get(&done_key(id, 0))? {
                 let record: DoneRecord = from_value(&done.data).unwrap_or_default();
                 if let Some(outcome) = record.state {
                     return Ok(Some(JobView::of_final(outcome, tasks)));
                 }
             }
-            if self.store.get(&job_key(id), Urgency::Normal)?.is_some() {
+            if get(&job_key(id))?.is_some() {
                 return Ok(Some(JobView {
                     state: ViewState::Queued,
                     done: 0,
@@ -355,7 +396,7 @@
                 }));
             }
         }
-        let Some(row) = self.store.get(&final_key(id), Urgency::Normal)? else {
+        let Some(row) = get(&final_key(id))? else {
             return Ok(None);
         };
         let record: FinalRecord = from_value(&row.data)
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -102,11 +102,16 @@
                 );
             }
             core.known_leader = record;
+            core.leader_seen = self.now();
         }
         let mut since = stamp;
         loop {
-            match self.store.changes(LEADER_KEY, since, Micros::from_secs(10)) {
-                Ok(changes) if changes.log.is_empty() => since = changes.epoch.max(since),
+            // Short watches: each answer vouches for the leader's name.
+            match self.store.changes(LEADER_KEY, since, Micros::from_secs(3)) {
+                Ok(changes) if changes.log.is_empty() => {
+                    since = changes.epoch.max(since);
+                    self.core().leader_seen = self.now();
+                }
                 Ok(_) => return,
                 Err(StoreError::TooOld) => return,
                 Err(e) => {
--- a/src/leadership/peer.rs
+++ b/src/leadership/peer.rs
@@ -2,14 +2,15 @@
 
 use crate::jobs::JobView;
 use borsh::{BorshDeserialize, BorshSerialize};
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const MAX_FRAME: u32 = 64 * 1024;
-const MAX_PEER_CONNECTIONS: usize = 48;
+/// Connections that are taken from each peer.
+const CONNECTIONS_A_PEER: usize = 24;
 
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum PeerRequest {
@@ -19,6 +20,8 @@
     Withdraw { id: String },
     /// What the state service says of a job, asked by a node that it refuses.
     Read { id: String },
+    /// Is anybody there?
+    Ping,
     /// Accept a checked submission (its CBOR), for a node that can't write it.
     Accept { body: Vec<u8> },
 }
@@ -69,16 +72,34 @@
         }
     }
 
+    /// Asks once. A kept connection may belong to a process that has ended since: then the
+    /// request, which can bear to be repeated, goes out on a new one.
     pub fn call(&self, request: &PeerRequest, timeout: Duration) -> std::io::Result<PeerReply> {
         let kept = self.kept.lock().unwrap_or_else(|e| e.into_inner()).pop();
-        let mut stream = match kept {
-            Some(s) => s,
-            None => {
-                let s = TcpStream::connect_timeout(&self.addr, timeout)?;
-                let _ = s.set_nodelay(true);
-                s
+        let since = Instant::now();
+        if let Some(stream) = kept {
+            match self.ask(stream, request, timeout) {
+                Err(e) if !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    self.kept.lock().unwrap_or_else(|e| e.into_inner()).clear();
+                }
+                result => return result,
             }
-        };
+        }
+        let left = timeout.saturating_sub(since.elapsed());
+        if left.is_zero() {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        let stream = TcpStream::connect_timeout(&self.addr, left)?;
+        let _ = stream.set_nodelay(true);
+        self.ask(stream, request, left)
+    }
+
+    fn ask(
+        &self,
+        mut stream: TcpStream,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> std::io::Result<PeerReply> {
         stream.set_read_timeout(Some(timeout))?;
         stream.set_write_timeout(Some(timeout))?;
         write_frame(&mut stream, request)?;
@@ -94,15 +115,17 @@
 /// Answers peers for ever.
 pub fn serve_peers(
     listener: TcpListener,
+    peers: usize,
     answer: Arc<dyn Fn(PeerRequest) -> PeerReply + Send + Sync>,
 ) {
+    let most = CONNECTIONS_A_PEER * peers.max(1);
     let open = Arc::new(AtomicUsize::new(0));
     loop {
         let Ok((mut stream, _)) = listener.accept() else {
             std::thread::sleep(Duration::from_millis(50));
             continue;
         };
-        if open.load(Ordering::Relaxed) >= MAX_PEER_CONNECTIONS {
+        if open.load(Ordering::Relaxed) >= most {
             continue;
         }
         open.fetch_add(1, Ordering::Relaxed);
--- a/src/node.rs
+++ b/src/node.rs
@@ -58,6 +58,10 @@
     /// There only while leading, once the state was read.
     pub cluster: Option<Cluster>,
     pub known_leader: Option<LeaderRecord>,
+    /// When the state service last vouched for it.
+    pub leader_seen: Moment,
+    /// When peers were last asked whether any is there, and whether one was.
+    pub company: (Moment, bool),
     pub finals: Finals,
     /// The lead is to be given up.
     pub step_down: bool,
@@ -161,6 +165,7 @@
             dear_patience: Micros::from_millis(self.options.dear_patience_ms),
             reserve: self.options.reserve as f64 / 100.0,
             objectives: site.objectives.clone(),
+            patience: Micros::from_millis(self.options.patience_ms),
         }
     }
 
@@ -200,10 +205,12 @@
         let node = self.clone();
         spawn(
             "peers",
-            Box::new(move || serve_peers(peers, Arc::new(move |r| node.answer_peer(r)))),
+            Box::new(move || {
+                let members = node.settings.members.len();
+                serve_peers(peers, members, Arc::new(move |r| node.answer_peer(r)));
+            }),
         )?;
-        // The rest is kept for the calls that this node makes itself.
-        let cap = (self.settings.settings.quota.sockets / 2).clamp(16, 400);
+        let cap = self.settings.settings.quota.connections();
         let clock = self.clock.clone();
         serve(public, self, clock, cap);
         Ok(())
@@ -249,6 +256,7 @@
                     None => PeerReply::NotLeading,
                 }
             }
+            PeerRequest::Ping => PeerReply::Unknown,
             PeerRequest::Withdraw { id } => self.withdraw_here(&id),
             PeerRequest::Read { id } => self.read_for_peer(&id),
             PeerRequest::Accept { body } => self.accept_for_peer(&body),
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -98,6 +98,8 @@
 /// place again at once, and be stopped again, without end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Priority {
+    /// It has not begun for so long that its first tasks go before everything else.
+    begins: std::cmp::Reverse<bool>,
     rank: std::cmp::Reverse<Rank>,
     beyond_guarantee: bool,
     /// Can't be in time any more: it goes behind those that can.
@@ -114,6 +116,12 @@
 /// Estimates are rough: a little past its latest start a job may still be in time.
 const LATE_GRACE: Micros = Micros::from_secs(5);
 
+/// A job that has waited too long gets this part of its tasks placed first, at least one.
+const FIRST_SHARE: u32 = 16;
+
+/// One machine in this many, and one more, may be kept for jobs that waited too long.
+const MOST_RESERVED: usize = 32;
+
 /// Passes are at least this long apart for each machine.
 const PASS_SPACING: Micros = Micros(100);
 
@@ -126,6 +134,8 @@
     free: Room,
     /// Free room once what is being stopped has left, less what waits for it.
     promised: Room,
+    /// Kept for a job that has waited too long: nothing else starts here.
+    reserved: bool,
 }
 
 /// A task that could be stopped.
@@ -149,6 +159,8 @@
     roomy: Vec<usize>,
     /// Places at which room is being made.
     making: Vec<usize>,
+    /// How many places are kept for jobs that waited too long.
+    reserved: usize,
     /// Needs that no place had room for; room only shrinks in a pass.
     barren: Vec<Room>,
     team_room: Vec<Room>,
@@ -245,6 +257,7 @@
             let press = latest_start + Micros::from_secs_f64(alone * SMALL_FIRST);
             order.push((
                 Priority {
+                    begins: std::cmp::Reverse(self.starves(job, now)),
                     beyond_guarantee: !within,
                     rank: std::cmp::Reverse(job.spec.rank),
                     late: now > latest_start + LATE_GRACE,
@@ -258,11 +271,25 @@
         order
     }
 
+    /// A job that waits in vain for its first start. Small and urgent work goes before large and
+    /// late work, ranks before lower ranks; each may be endless, so that waiting itself must win
+    /// in the end. The age comes from the record, so it survives a takeover.
+    fn starves(&self, job: &Job, now: Moment) -> bool {
+        !job.begun() && now - job.accepted_at > self.config.patience
+    }
+
     fn usable(&self, m: &Machine, now: Moment) -> bool {
         let fresh = m
             .last_report
             .is_some_and(|t| now - t < self.config.report.scaled(2.0));
-        m.counted_in && m.recorded && !m.lost && !m.returning && !m.faulty && !m.recalled && fresh
+        m.counted_in
+            && m.recorded
+            && m.doubt.is_none()
+            && !m.lost
+            && !m.returning
+            && !m.faulty
+            && !m.recalled
+            && fresh
     }
 
     /// A pass, if something changed and the last one was long enough ago. A pass looks at every
@@ -299,6 +326,7 @@
                     name: m.name.clone(),
                     free,
                     promised: free.plus(stopping),
+                    reserved: false,
                 }
             })
             .collect();
@@ -311,6 +339,7 @@
             making: (0..places.len())
                 .filter(|i| places[*i].promised != places[*i].free)
                 .collect(),
+            reserved: 0,
             barren: Vec::new(),
             team_room: self.team_room_beside(&used),
             victims: None,
@@ -326,15 +355,26 @@
             return;
         };
         let Some(team) = job.team else { return };
-        let (need, ready) = (job.spec.need, job.ready());
+        let (need, mut ready) = (job.spec.need, job.ready());
+        let begins = priority.begins.0;
+        if begins {
+            ready = ready.min((job.spec.tasks / FIRST_SHARE).max(1));
+        }
         let mut zones = self.zones_of(id);
         let mut waiting = false;
         for _ in 0..ready {
             if !need.fits(pass.team_room[team]) {
+                if begins {
+                    // What gets free of the team's limit is kept until it is enough.
+                    pass.team_room[team] = pass.team_room[team].minus(need);
+                }
                 break;
             }
             let Some(at) = self.choose(id, pass, &zones) else {
                 waiting = true;
+                if begins && pass.reserved <= pass.places.len() / MOST_RESERVED {
+                    self.reserve(id, pass, &zones);
+                }
                 break;
             };
             let Some(job) = self.jobs.table.get_mut(&id) else {
@@ -347,9 +387,9 @@
             };
             self.counter += 1;
             let number = (self.term << 32) | u64::from(self.counter);
-            machine
-                .attempts
-                .insert((id, task, number), Attempt::placed(now));
+            let mut attempt = Attempt::placed(now);
+            attempt.kept = begins;
+            machine.attempts.insert((id, task, number), attempt);
             machine.idle_since = None;
             if task < job.claimed {
                 self.poked.insert(place.name.clone());
@@ -390,6 +430,32 @@
         }
     }
 
+    /// Keeps the machine with most room for a job that has waited too long: nothing else starts
+    /// there, so that a large task isn't kept out by small ones that take each bit of room.
+    fn reserve(&self, id: JobId, pass: &mut Pass, zones: &BTreeMap<String, u32>) {
+        let Some(job) = self.jobs.table.get(&id) else {
+            return;
+        };
+        let places = pass.places.iter().enumerate();
+        let most = places
+            .filter(|(_, p)| !p.reserved)
+            .filter(|(_, p)| {
+                self.machines.get(&p.name).is_some_and(|m| {
+                    job.spec.need.fits(m.total)
+                        && job.spec.allows(&m.type_name, &m.zone, m.spot)
+                        && Self::zone_allowed(job, &m.zone, zones)
+                })
+            })
+            .max_by_key(|(at, p)| (p.promised.cpu, p.free.cpu, std::cmp::Reverse(*at)));
+        if let Some((at, _)) = most {
+            let place = &mut pass.places[at];
+            place.reserved = true;
+            pass.reserved += 1;
+            place.free = Room::default();
+            place.promised = Room::default();
+        }
+    }
+
     /// Tasks of the job by zone, done ones included where it is known.
     fn zones_of(&self, id: JobId) -> BTreeMap<String, u32> {
         let mut zones = BTreeMap::new();
@@ -508,6 +574,10 @@
                 if !a.holds() || a.wanted != Wanted::Run || a.status == Some(TaskStatus::Flushing) {
                     continue;
                 }
+                // Else what begins at last would be stopped at once, again and again.
+                if a.kept || place.reserved {
+                    continue;
+                }
                 let Some(v) = self.jobs.table.get(&key.0) else {
                     continue;
                 };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -107,6 +107,28 @@
 #[derive(Clone, Debug, Deserialize)]
 pub struct QuotaSettings {
     pub sockets: usize,
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+}
+
+/// What a connection costs with its thread's stack and buffers, as measured: about 30 KiB.
+const CONNECTION_KB: f64 = 48.0;
+
+impl QuotaSettings {
+    /// How many connections of users and workers are served at once. The other sockets are for
+    /// the calls that this node makes itself, the other half of the memory for what it knows.
+    pub fn connections(&self) -> usize {
+        let by_sockets = self.sockets * 3 / 5;
+        let by_memory = self
+            .memory_mb
+            .map_or(f64::INFINITY, |mb| mb * 512.0 / CONNECTION_KB);
+        by_sockets.min(by_memory as usize).max(16)
+    }
+
+    /// How many connections to workers are kept open.
+    pub fn kept_clients(&self) -> usize {
+        self.connections() / 2
+    }
 }
 
 impl Settings {
@@ -181,6 +203,12 @@
         if s.state.txn_ops < 4 {
             return bad("settings.state.txn_ops", "must be at least 4");
         }
+        if s.quota
+            .memory_mb
+            .is_some_and(|mb| !(4.0..=1e7).contains(&mb))
+        {
+            return bad("settings.quota.memory_mb", "must be from 4 to 1e7");
+        }
         if s.quota.sockets < 32 {
             return bad("settings.quota.sockets", "must be at least 32");
         }
--- a/src/state_store/mod.rs
+++ b/src/state_store/mod.rs
@@ -5,11 +5,12 @@
 
 use crate::http::cbor::{decode, encode};
 use crate::http::client::{CallError, Client};
-use crate::time::{Clock, Micros};
+use crate::time::{Clock, Micros, Moment};
 use bucket::TokenBucket;
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -128,6 +129,9 @@
     client: Client,
     clock: Arc<Clock>,
     requests: Mutex<TokenBucket>,
+    /// When it last answered, and when it last did not, in microseconds of this node's clock.
+    last_answer: AtomicU64,
+    last_silence: AtomicU64,
 }
 
 pub fn to_value<T: Serialize>(value: &T) -> Value {
@@ -138,6 +142,8 @@
     value.deserialized().ok()
 }
 
+/// After this long a silence says nothing any more.
+const SILENCE_COUNTS: Micros = Micros::from_secs(2);
 const CALL_TIME: Duration = Duration::from_millis(1500);
 
 impl Store {
@@ -148,9 +154,22 @@
             client: Client::new(addr),
             clock,
             requests: Mutex::new(bucket),
+            last_answer: AtomicU64::new(0),
+            last_silence: AtomicU64::new(0),
         }
     }
 
+    /// When it last answered this node with anything but a refusal.
+    pub fn last_answer(&self) -> Moment {
+        Moment(self.last_answer.load(Ordering::Relaxed))
+    }
+
+    /// False while its last word was none: others may reach it sooner than another try does.
+    pub fn answers(&self, now: Moment) -> bool {
+        let silence = Moment(self.last_silence.load(Ordering::Relaxed));
+        self.last_answer() >= silence || now - silence > SILENCE_COUNTS
+    }
+
     fn bucket(&self) -> std::sync::MutexGuard<'_, TokenBucket> {
         self.requests.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -178,13 +197,16 @@
                 return Err(StoreError::Refused("out of tokens".into()));
             }
         }
-        let (status, answer) =
-            self.client
-                .call(method, path, body, timeout)
-                .map_err(|e| match e {
-                    CallError::Unsent(e) => StoreError::Refused(e),
-                    CallError::Unknown(e) => StoreError::Unknown(e),
-                })?;
+        let result = self.client.call(method, path, body, timeout);
+        let at = self.clock.now().0;
+        match &result {
+            Ok((503, _)) | Err(_) => self.last_silence.store(at, Ordering::Relaxed),
+            Ok(_) => self.last_answer.store(at, Ordering::Relaxed),
+        }
+        let (status, answer) = result.map_err(|e| match e {
+            CallError::Unsent(e) => StoreError::Refused(e),
+            CallError::Unknown(e) => StoreError::Unknown(e),
+        })?;
         match status {
             429 => {
                 let pause = Micros::from_millis(100 + fastrand::u64(0..100));
@@ -205,7 +227,16 @@
     }
 
     pub fn get(&self, key: &str, urgency: Urgency) -> Result<Option<Row>, StoreError> {
-        let (status, body) = self.call("GET", &format!("/store/{key}"), &[], urgency, CALL_TIME)?;
+        self.get_within(key, urgency, CALL_TIME)
+    }
+
+    pub fn get_within(
+        &self,
+        key: &str,
+        urgency: Urgency,
+        time: Duration,
+    ) -> Result<Option<Row>, StoreError> {
+        let (status, body) = self.call("GET", &format!("/store/{key}"), &[], urgency, time)?;
         match status {
             200 => Ok(Some(Self::parse(&body)?)),
             404 => Ok(None),
--- a/src/workers/edge.rs
+++ b/src/workers/edge.rs
@@ -7,6 +7,7 @@
 use crate::http::client::{CallError, Client};
 use crate::http::server::Response;
 use crate::node::Node;
+use crate::time::{Micros, Moment};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -14,11 +15,16 @@
 
 /// A worker that answers no sooner is told by its next check-in.
 const DIRECT_TIME: Duration = Duration::from_millis(1500);
+/// Many machines may be in doubt at once: asking them mustn't hold up orders for the others.
+const PROBE_TIME: Duration = Duration::from_millis(500);
 const MAX_KNOCKS: usize = 64;
-const MAX_CLIENTS: usize = 512;
+/// Longer than a watch on the leader takes.
+const VOUCHED: Micros = Micros::from_secs(6);
+/// A connection to a worker that wasn't used for this long may go when there are many.
+const UNUSED: Micros = Micros::from_secs(60);
 
-/// Kept-open connections to workers, by address.
-pub type WorkerClients = Mutex<HashMap<SocketAddr, Arc<Client>>>;
+/// Kept-open connections to workers, by address, and when they were last used.
+pub type WorkerClients = Mutex<HashMap<SocketAddr, (Arc<Client>, Moment)>>;
 
 impl Node {
     pub fn check_in(&self, body: &[u8]) -> Response {
@@ -67,10 +73,14 @@
         }
     }
 
+    /// Names the leader only while the state service vouched for it lately: a node that lost
+    /// touch would send workers in circles.
     fn misdirected(&self, core: &crate::node::Core) -> Response {
+        let vouched = self.now() - core.leader_seen < VOUCHED;
         let foreman = core
             .known_leader
             .as_ref()
+            .filter(|_| vouched)
             .map(|l| l.node.clone())
             .filter(|n| *n != self.settings.node);
         Response::new(421, encode(&Misdirected { foreman }))
@@ -124,26 +134,37 @@
         }
     }
 
+    /// A kept client, or one for this call only when there are as many as sockets allow.
+    fn worker_client(&self, addr: SocketAddr) -> Arc<Client> {
+        let now = self.now();
+        let most = self.settings.settings.quota.kept_clients();
+        let mut clients = self.workers.lock().unwrap_or_else(|e| e.into_inner());
+        if let Some((client, used)) = clients.get_mut(&addr) {
+            *used = now;
+            return client.clone();
+        }
+        if clients.len() >= most {
+            clients.retain(|_, (_, used)| now - *used < UNUSED);
+        }
+        let client = Arc::new(Client::new(addr));
+        if clients.len() < most {
+            clients.insert(addr, (client.clone(), now));
+        }
+        client
+    }
+
     fn call_worker(&self, call: &DirectCall) -> DirectResult {
         let Ok(addr) = call.addr.parse::<SocketAddr>() else {
             return DirectResult::Unsent;
         };
-        let client = {
-            let mut clients = self.workers.lock().unwrap_or_else(|e| e.into_inner());
-            if clients.len() > MAX_CLIENTS {
-                clients.clear();
-            }
-            clients
-                .entry(addr)
-                .or_insert_with(|| Arc::new(Client::new(addr)))
-                .clone()
-        };
+        let client = self.worker_client(addr);
         let body = encode(&Commands {
             token: call.token,
             session: call.session,
             orders: &call.orders,
         });
-        match client.call("POST", "/commands", &body, DIRECT_TIME) {
+        let time = if call.probe { PROBE_TIME } else { DIRECT_TIME };
+        match client.call("POST", "/commands", &body, time) {
             Ok((200 | 409, body)) => match decode(&body) {
                 Ok(report) => DirectResult::Report(report),
                 Err(e) => {
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -46,6 +46,8 @@
     pub running_since: Option<Moment>,
     /// It may hold its place on the machine, and is counted at its job.
     pub bound: bool,
+    /// The first start of a job that waited too long: it isn't stopped for others.
+    pub kept: bool,
     pub done: bool,
 }
 
@@ -60,6 +62,7 @@
             placed_at: now,
             running_since: None,
             bound,
+            kept: false,
             done: false,
         }
     }
@@ -92,6 +95,21 @@
     pub cached: bool,
 }
 
+/// A machine's reports may arrive although answers and orders don't reach it. Each report then
+/// looks healthy, but its session ends again and again.
+#[derive(Clone, Copy, Debug)]
+pub struct Doubt {
+    pub since: Moment,
+    /// When the session began, or the last sign that something was lost.
+    sign: Moment,
+    /// When it may be asked again whether orders reach it.
+    probe_at: Moment,
+    wait: Micros,
+}
+
+/// The first time between two probes of a machine in doubt; it doubles up to eight times that.
+const PROBE_WAIT: Micros = Micros::from_secs(2);
+
 #[derive(Debug)]
 pub struct Machine {
     pub name: String,
@@ -110,6 +128,10 @@
     pub session_over: bool,
     /// It is on the roster in the state service: tasks may start here.
     pub recorded: bool,
+    /// The newest check-in taken: whatever is no newer is a copy.
+    pub checked: (u64, u64),
+    /// Set while it is doubtful that answers reach it.
+    pub doubt: Option<Doubt>,
     /// The lease can't have been renewed by anyone after this.
     pub lease_from: Moment,
     pub last_report: Option<Moment>,
@@ -142,6 +164,8 @@
     pub session: u64,
     pub orders: Vec<Order>,
     starts: Vec<AttemptKey>,
+    /// Only asks whether orders reach the machine.
+    pub probe: bool,
 }
 
 /// How a direct call ended.
@@ -176,6 +200,8 @@
             lost: false,
             session_over: false,
             recorded: false,
+            checked: (0, 0),
+            doubt: None,
             lease_from: now,
             last_report: None,
             recalled: false,
@@ -199,6 +225,17 @@
         self.attempts.values().any(|a| a.holds()) || self.ghosts.iter().any(|g| !g.exited)
     }
 
+    /// Something that was sent to it was surely lost.
+    fn note_loss(&mut self, now: Moment) {
+        let doubt = self.doubt.get_or_insert(Doubt {
+            since: now,
+            sign: now,
+            probe_at: now,
+            wait: PROBE_WAIT,
+        });
+        doubt.sign = now;
+    }
+
     /// Marks an image as used; the least recently used ones leave a full cache.
     pub fn note_image(&mut self, image: &str, gb: f64, cached: bool, cache_gb: f64, now: Moment) {
         let entry = self.images.entry(image.to_string()).or_insert(Image {
@@ -264,29 +301,57 @@
             // After an expired lease the session is over, whatever a late report says.
             return CheckIn::Stale;
         }
+        let seen = (report.session, report.tick);
+        if seen <= machine.checked {
+            // A copy: it renews nothing, and doesn't prove that its sender is alive.
+            return CheckIn::Stale;
+        }
+        machine.checked = seen;
         machine.lease_from = now;
         if (report.session, report.tick) > (machine.session, machine.tick) {
             self.take_in(report, true, now);
         }
         // Else the answer of a direct call overtook this report, whose task list is older than
         // what is known; the answer to it is as good as any.
+        self.review_doubt(&report.machine, now);
         self.release_seen(now);
         self.place_soon(now);
         CheckIn::Orders(self.orders(&report.machine, now))
     }
 
+    /// A machine in doubt is asked directly; one whose session lasts is heard and hears.
+    fn review_doubt(&mut self, name: &str, now: Moment) {
+        let span = self.lease_span();
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        let Some(doubt) = machine.doubt else { return };
+        if now - doubt.sign > span {
+            // Without answers its lease would have run out by now.
+            machine.doubt = None;
+            self.dirty = true;
+        } else if doubt.probe_at <= now {
+            self.poked.insert(name.to_string());
+        }
+    }
+
     /// Takes in a report that is newer than what is known. `checked_in`: it came as a check-in,
     /// not as the answer of a direct call.
     fn take_in(&mut self, report: &Report, checked_in: bool, now: Moment) {
         let Some(machine) = self.machines.get(&report.machine) else {
             return;
         };
-        if report.session > machine.session && machine.session > 0 {
+        let new_session = report.session > machine.session && machine.session > 0;
+        if new_session {
             self.end_session(&report.machine);
         }
         let Some(machine) = self.machines.get_mut(&report.machine) else {
             return;
         };
+        if new_session {
+            // It may have been away. It may also hear nothing of what is answered.
+            machine.note_loss(now);
+        }
         machine.session = report.session;
         machine.tick = report.tick;
         machine.lost = false;
@@ -377,6 +442,7 @@
             if task.status == TaskStatus::Running && attempt.running_since.is_none() {
                 attempt.running_since = Some(now);
             }
+            job.begun |= task.status == TaskStatus::Running;
             let unfinished = task.status != TaskStatus::Exited;
             if unfinished
                 && (job.outcome.is_some() || job.done.contains(number))
@@ -446,8 +512,19 @@
                 (None, Some(sent)) => checked_in && sent < (report.session, report.tick),
                 (None, None) => true,
             };
-            if never {
+            // The same proof, for a start that is still wanted: the answer was lost.
+            let lost = checked_in
+                && attempt.status.is_none()
+                && attempt.wanted == Wanted::Run
+                && attempt.direct == Direct::Settled
+                && attempt
+                    .sent
+                    .is_some_and(|sent| sent < (report.session, report.tick));
+            if never || lost {
                 let holds = attempt.holds();
+                if lost {
+                    machine.note_loss(now);
+                }
                 machine.attempts.remove(&key);
                 if holds && let Some(job) = self.jobs.table.get_mut(&key.0) {
                     job.unbind(key.1);
@@ -517,6 +594,8 @@
                 leeway_s: (!ghost.exited).then_some(0.0),
             });
         }
+        // Answers that may not arrive carry no starts.
+        let in_doubt = machine.doubt.is_some();
         let here = (machine.session, machine.tick);
         let mut starts = Vec::new();
         let mut dropped = Vec::new();
@@ -562,6 +641,11 @@
                         }
                         continue;
                     }
+                    if in_doubt && attempt.sent.is_none() && attempt.direct == Direct::Settled {
+                        // It was never sent: it can start elsewhere.
+                        dropped.push(*key);
+                        continue;
+                    }
                     if key.1 >= job.claimed || !machine.recorded {
                         continue;
                     }
@@ -602,7 +686,27 @@
         let fresh = self.config.report.scaled(2.0);
         let machine = self.machines.get_mut(name)?;
         let heard = machine.last_report.is_some_and(|t| now - t < fresh);
-        if machine.calling || !machine.counted_in || machine.lost || !heard {
+        if machine.calling || machine.lost || !heard {
+            return None;
+        }
+        if let Some(doubt) = &mut machine.doubt {
+            if doubt.probe_at > now {
+                return None;
+            }
+            doubt.probe_at = now + doubt.wait;
+            doubt.wait = Micros((doubt.wait.0 * 2).min(8 * PROBE_WAIT.0));
+            machine.calling = true;
+            return Some(DirectCall {
+                machine: name.to_string(),
+                addr: machine.addr.clone(),
+                token: self.term,
+                session: machine.session,
+                orders: Vec::new(),
+                starts: Vec::new(),
+                probe: true,
+            });
+        }
+        if !machine.counted_in {
             return None;
         }
         let mut orders = Vec::new();
@@ -662,6 +766,7 @@
             session: machine.session,
             orders,
             starts,
+            probe: false,
         })
     }
 
@@ -675,6 +780,18 @@
             DirectResult::Unknown => Direct::Uncertain,
             _ => Direct::Settled,
         };
+        match &result {
+            DirectResult::Unknown if !machine.lost && !call.probe => machine.note_loss(now),
+            // Only what reached it can have been answered.
+            DirectResult::Report(r)
+                if r.machine == call.machine
+                    && r.session == call.session
+                    && r.session == machine.session =>
+            {
+                self.dirty |= machine.doubt.take().is_some();
+            }
+            _ => {}
+        }
         for key in &call.starts {
             if let Some(attempt) = machine.attempts.get_mut(key) {
                 attempt.direct = settled;
@@ -690,7 +807,7 @@
             self.place_soon(now);
         }
         // What was decided meanwhile waits for the next call.
-        if settled == Direct::Settled {
+        if settled == Direct::Settled && !call.probe {
             self.poked.insert(call.machine.clone());
         }
     }
--- a/tests/common/trace.rs
+++ b/tests/common/trace.rs
@@ -106,6 +106,7 @@
             dear_patience: Micros::from_secs(120),
             reserve: 0.0,
             objectives: Vec::new(),
+            patience: Micros::from_secs(90),
         };
         let mut cluster = Cluster::new(config, term, at(0.0), 7);
         cluster.fleet.catalog = catalog().types();
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -399,7 +399,13 @@
     w.at(4.0)
         .check_in("big-east-1", &["run-1/1#4.2 stopped"])
         .bound();
-    w.at(20.0).check_in("big-east-1", &[]);
+    let back = [
+        "run-1/2#5.2 running",
+        "run-1/3#5.3 running",
+        "run-3/0#5.1 running",
+    ];
+    w.at(7.0).check_in("big-east-1", &back);
+    w.at(20.0).check_in("big-east-1", &back);
     w.tick(20.6).bound();
     assert_snapshot!(w.log);
 }
