--- a/tests/common/trace.rs
+++ b/tests/common/trace.rs
@@ -364,6 +364,75 @@
     }
 }
 
+/// A worker as a long trace needs it: it does what it is told, and its tasks end by themselves.
+pub struct SimWorker {
+    pub name: String,
+    tasks: Vec<(String, u64, f64)>,
+    over: Vec<(String, u64)>,
+}
+
+impl SimWorker {
+    pub fn new(name: &str) -> SimWorker {
+        SimWorker {
+            name: name.into(),
+            tasks: Vec::new(),
+            over: Vec::new(),
+        }
+    }
+}
+
+impl World {
+    /// One check-in of such a worker at `seconds`. Tasks run for `run` of their job. Jobs that it
+    /// starts for the first time go into `begun`.
+    pub fn serve(
+        &mut self,
+        worker: &mut SimWorker,
+        seconds: f64,
+        run: &impl Fn(&str) -> f64,
+        begun: &mut BTreeMap<String, f64>,
+    ) {
+        self.now = at(seconds);
+        let (over, tasks): (Vec<_>, Vec<_>) = worker.tasks.drain(..).partition(|t| t.2 <= seconds);
+        worker.tasks = tasks;
+        worker.over.extend(over.into_iter().map(|t| (t.0, t.1)));
+        let show = |piece: &str, attempt: u64, status: &str| {
+            task_report(&format!(
+                "{piece}#{}.{} {status}",
+                attempt >> 32,
+                attempt & 0xffff_ffff
+            ))
+        };
+        let mut report = self.report(&worker.name, self.cluster.term, 1, &[]);
+        let running = worker.tasks.iter().map(|t| show(&t.0, t.1, "running"));
+        let done = worker.over.iter().map(|t| show(&t.0, t.1, "done"));
+        report.tasks = running.chain(done).collect();
+        let answer = self.cluster.check_in(&report, self.now);
+        self.record_fleet();
+        let CheckIn::Orders(orders) = answer else {
+            panic!("{answer:?}");
+        };
+        for order in orders {
+            match order.verb {
+                Verb::Run => {
+                    let job = order.piece.split('/').next().unwrap().to_string();
+                    let ends = seconds + run(&job);
+                    begun.entry(job).or_insert(seconds);
+                    worker.tasks.push((order.piece, order.attempt, ends));
+                }
+                Verb::Stop => worker.tasks.retain(|t| t.1 != order.attempt),
+                Verb::Clear => worker.over.retain(|t| t.1 != order.attempt),
+            }
+        }
+        let mut writes = self.cluster.due_finals(12);
+        writes.extend(self.cluster.due_sets(100));
+        writes.extend(self.cluster.due_retirements(100, 12));
+        for write in &writes {
+            self.epoch += 1;
+            self.cluster.written(write, self.epoch);
+        }
+    }
+}
+
 pub fn decimal(x: f64) -> Decimal {
     Decimal(x)
 }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -7,7 +7,8 @@
 use aspenreel::jobs::spec::Rank;
 use aspenreel::workers::DirectResult;
 use insta::assert_snapshot;
-use trace::{World, at, decimal, submission, team};
+use std::collections::BTreeMap;
+use trace::{SimWorker, World, at, decimal, submission, team};
 
 fn one_team() -> Vec<aspenreel::settings::TeamSettings> {
     vec![team("a", 100.0, 100.0)]
@@ -439,3 +440,206 @@
         .direct(|w| DirectResult::Report(w.report("big-east-1", 2, 1, &["run-1/0#2.1 running"])));
     assert_snapshot!(w.log);
 }
+
+/// Endless small and urgent work, from `from` on, on a machine that it fills. Returns when the
+/// jobs of `patient` began, by second; `over` carries running tasks into a next leader's term.
+fn crowded(
+    w: &mut World,
+    worker: &mut SimWorker,
+    begun: &mut BTreeMap<String, f64>,
+    seconds: std::ops::Range<u32>,
+) {
+    for second in seconds {
+        let t = f64::from(second);
+        w.now = at(t);
+        w.job(submission(&format!("run-{}", 1000 + second), |s| {
+            s.pieces = 10;
+            s.rank = Rank::High;
+            s.guess_s = decimal(3.0);
+            s.due_s = Some(decimal(20.0));
+            s.accepted_us = (t * 1e6) as u64;
+        }));
+        w.serve(worker, t, &|_| 3.0, begun);
+    }
+}
+
+fn patient(w: &mut World) {
+    w.note("the patient ones:");
+    w.job(submission("run-1", |s| s.pieces = 5000));
+    w.job(submission("run-2", |s| s.rank = Rank::Low));
+    w.job(submission("run-3", |s| s.due_s = Some(decimal(1.0))));
+    w.job(submission("run-4", |s| s.cpus = decimal(32.0)));
+    w.job(submission("run-5", |s| s.crew = "b".into()));
+}
+
+/// Waiting wins: a largest job, a low rank, a late job, a task that fills a machine and a small
+/// team begin in bounded time, though small and urgent work never ends.
+#[test]
+fn waiting_wins() {
+    let teams = vec![team("a", 100.0, 100.0), team("b", 0.0, 8.0)];
+    let mut w = World::new(2, teams);
+    let mut worker = SimWorker::new("big-east-1");
+    let mut begun = BTreeMap::new();
+    w.serve(&mut worker, 0.0, &|_| 3.0, &mut begun);
+    patient(&mut w);
+    crowded(&mut w, &mut worker, &mut begun, 1..160);
+    for id in ["run-1", "run-2", "run-3", "run-4", "run-5"] {
+        let at = begun.get(id).copied().unwrap_or(f64::INFINITY);
+        assert!((90.0..150.0).contains(&at), "{id} began at {at} s");
+    }
+}
+
+/// The age of a job comes from its record: a takeover doesn't make it wait anew.
+#[test]
+fn waiting_wins_through_a_takeover() {
+    let mut w = World::new(3, vec![team("a", 100.0, 100.0), team("b", 0.0, 8.0)]);
+    w.cluster.wall_at_start = aspenreel::time::WallTime(85_000_000);
+    let mut worker = SimWorker::new("big-east-1");
+    let mut begun = BTreeMap::new();
+    w.serve(&mut worker, 0.0, &|_| 3.0, &mut begun);
+    // Accepted 85 s ago by the time of day.
+    let old = submission("run-1", |s| s.pieces = 5000);
+    let wall = aspenreel::time::WallTime(old.accepted_us + 85_000_000);
+    w.cluster.add_job(&old, 50, at(0.0), wall);
+    crowded(&mut w, &mut worker, &mut begun, 1..40);
+    let at = begun.get("run-1").copied().unwrap_or(f64::INFINITY);
+    assert!((5.0..30.0).contains(&at), "run-1 began at {at} s");
+}
+
+/// Reports arrive, answers and orders don't: no new work, a replacement, a return if it lasts;
+/// and a machine that hears again counts again.
+#[test]
+fn one_way_silence() {
+    let mut w = World::new(2, one_team());
+    w.cluster.config.idle = aspenreel::time::Micros::from_secs(1000);
+    w.check_in("big-east-1", &[]);
+    w.at(1.0).job(submission("run-1", |s| s.pieces = 2));
+    w.tick(1.0);
+    w.direct(|_| DirectResult::Unknown).bound();
+    // Its lease runs out, and each session looks healthy.
+    w.at(3.0).check_in("big-east-1", &[]);
+    let next = w.report("big-east-1", 2, 2, &[]);
+    w.at(21.0).send(&next).bound();
+    w.direct(|_| DirectResult::Unknown);
+    let next = w.report("big-east-1", 2, 2, &[]);
+    w.at(33.0).list(&[("big-east-1", "running")]);
+    w.send(&next).bound().rentals();
+    let next = w.report("big-east-1", 2, 3, &[]);
+    w.at(42.0).send(&next).bound();
+    let due = w.cluster.plan_returns(at(43.0));
+    w.note(&format!("to return: {due:?}"));
+    w.direct(|w| DirectResult::Report(w.report("big-east-1", 2, 3, &[])));
+    w.tick(44.0).bound();
+    // Another one never heals.
+    w.at(50.0).check_in("small-west-1", &[]);
+    for (t, session) in [(75.0, 2), (100.0, 3), (125.0, 4)] {
+        let next = w.report("small-west-1", 2, session, &[]);
+        w.at(t).send(&next);
+        w.direct(|_| DirectResult::Unknown);
+    }
+    let due = w.cluster.plan_returns(at(126.0));
+    w.note(&format!("to return: {due:?}"));
+    assert_snapshot!(w.log);
+}
+
+/// A start that an answer carried and the next report doesn't show was lost with the answer: it
+/// starts elsewhere, and the machine is asked whether it hears.
+#[test]
+fn starts_that_never_show() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.at(1.0).job(submission("run-1", |s| s.pieces = 1));
+    w.at(3.0).check_in("big-east-1", &[]).bound();
+    w.at(6.0).check_in("big-east-1", &[]).bound();
+    w.check_in("big-east-2", &[]).bound();
+    w.direct(|w| DirectResult::Report(w.report("big-east-1", 2, 1, &[])));
+    w.at(9.0).check_in("big-east-2", &["run-1/0#2.2 running"]);
+    assert_snapshot!(w.log);
+}
+
+/// Copies of reports, from seconds old to older than a lease: they renew nothing, get no orders,
+/// bind and free nothing, and bring no machine back.
+#[test]
+fn late_copies() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.job(submission("run-1", |s| s.pieces = 1));
+    w.at(1.0).tick(1.0);
+    let idle = w.report("big-east-1", 2, 1, &[]);
+    w.at(3.0).send(&idle);
+    let running = w.report("big-east-1", 2, 1, &["run-1/0#2.1 running"]);
+    w.at(4.0).send(&running);
+    w.at(9.0).send(&idle).bound();
+    // Copies don't keep a silent machine's session alive.
+    w.at(20.0).send(&running);
+    w.tick(24.4).bound();
+    w.tick(24.6).bound();
+    w.at(40.0).send(&running).bound();
+    // Its next session runs the task anew: a copy of the old one frees nothing.
+    let next = w.report("big-east-1", 2, 2, &["run-1/0#2.2 running"]);
+    w.at(41.0).send(&next).bound();
+    w.at(42.0).send(&idle).send(&running).bound();
+    // The machine is gone.
+    w.cluster.returned(&["big-east-1".into()]);
+    w.at(60.0).send(&next).bound();
+    assert_snapshot!(w.log);
+}
+
+/// A copy may be the first that a new leader hears of a machine: it counts nothing in, but an
+/// outcome in it still settles.
+#[test]
+fn a_copy_comes_first() {
+    let mut w = World::new(5, one_team());
+    w.recorded("big-east-1", -100.0);
+    w.old_job(submission("run-1", |s| s.pieces = 2));
+    let copy = w.report(
+        "big-east-1",
+        4,
+        1,
+        &["run-1/0#4.1 done", "run-1/1#4.2 running"],
+    );
+    w.at(1.0).send(&copy).bound();
+    let unseen = format!("unseen: {:?}", w.cluster.unseen);
+    w.note(&unseen);
+    w.round(true).view("run-1");
+    let own = w.report("big-east-1", 5, 2, &[]);
+    w.at(2.0).send(&own).bound();
+    w.at(2.5).send(&copy).bound();
+    assert_snapshot!(w.log);
+}
+
+/// Repeats of submissions, withdrawals, rentals, returns and transactions change nothing.
+#[test]
+fn repeats() {
+    let mut w = World::new(4, one_team());
+    let first = submission("run-1", |s| s.pieces = 1);
+    w.at(1.0).list(&[]).job(first.clone()).job(first.clone());
+    w.rentals();
+    let rented = || HireResult::Rented(vec!["big-east-7".into()]);
+    w.cluster.hired("r-4-1", rented(), at(2.0));
+    w.cluster.hired("r-4-1", rented(), at(2.0));
+    w.at(2.0).rentals();
+    w.at(9.0).check_in("big-east-7", &[]);
+    w.at(10.0).check_in("big-east-7", &["run-1/0#4.1 running"]);
+    w.cluster.ask_cancel("run-1");
+    w.cluster.ask_cancel("run-1");
+    let writes = w.cluster.due_finals(12);
+    w.round(true).view("run-1");
+    // The same transaction again fails on its stamp; what is read back changes nothing.
+    let record = aspenreel::jobs::DoneRecord {
+        state: Some(aspenreel::jobs::Outcome::Cancelled),
+        set: String::new(),
+    };
+    w.cluster.load_done("run-1", 0, &record, 105);
+    w.note(&format!("{} final state written once", writes.len()));
+    w.view("run-1").job(first).view("run-1");
+    w.at(11.0)
+        .check_in("big-east-7", &["run-1/0#4.1 stopped"])
+        .round(true);
+    w.cluster.returned(&["big-east-7".into()]);
+    w.cluster.returned(&["big-east-7".into()]);
+    // A repeated rental that the cloud answers late names a machine that is gone.
+    w.cluster.hired("r-4-1", rented(), at(12.0));
+    w.at(12.0).bound();
+    assert_snapshot!(w.log);
+}
