--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -390,6 +390,50 @@
         self.old_records.insert(name.to_string(), since);
     }
 
+    /// One line on where the CPUs are, for whoever wonders why work waits.
+    pub fn summary(&self, now: Moment) -> String {
+        let (mut total, mut free, mut unusable) = (0, 0, 0);
+        let mut by_state: BTreeMap<&str, i64> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.last_report.is_some()) {
+            total += m.total.cpu;
+            if self.usable(m, now) {
+                free += self.free_room(m).cpu;
+            } else {
+                unusable += m.total.cpu;
+            }
+            for (key, a) in m.attempts.iter().filter(|(_, a)| a.holds()) {
+                let state = match (a.wanted, a.status) {
+                    (crate::workers::Wanted::Stop { .. }, _) => "stopping",
+                    (_, None) => "starting",
+                    (_, Some(TaskStatus::Fetching)) => "fetching",
+                    (_, Some(TaskStatus::Running)) => "running",
+                    _ => "other",
+                };
+                let need = self.jobs.table.get(&key.0).map_or(0, |j| j.spec.need.cpu);
+                *by_state.entry(state).or_insert(0) += need;
+            }
+        }
+        let waiting: i64 = self
+            .jobs
+            .table
+            .values()
+            .map(|j| j.spec.need.cpu * i64::from(j.ready()))
+            .sum();
+        let by_state: Vec<String> = by_state
+            .iter()
+            .map(|(state, cpu)| format!("{} {state}", cpu / 1000))
+            .collect();
+        format!(
+            "CPUs: {} up, {} on machines that take no work, {} free, {}; {} waited for by {} jobs",
+            total / 1000,
+            unusable / 1000,
+            free / 1000,
+            by_state.join(", "),
+            waiting / 1000,
+            self.jobs.table.len()
+        )
+    }
+
     /// What time alone changes.
     pub fn tick(&mut self, now: Moment) {
         self.expire_leases(now);
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -8,8 +8,8 @@
 static LOGGER: Stderr = Stderr;
 
 impl Log for Stderr {
-    fn enabled(&self, _: &Metadata) -> bool {
-        true
+    fn enabled(&self, metadata: &Metadata) -> bool {
+        metadata.level() <= log::max_level()
     }
 
     fn log(&self, record: &Record) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -20,6 +20,8 @@
 /// Threads that send orders straight to workers; each waits for one worker at a time.
 const DIRECT_THREADS: usize = 6;
 
+const SUMMARY_EVERY: Micros = Micros::from_secs(10);
+
 /// How long a node that stood down for want of workers lets others go first. If nobody does, it
 /// goes on, and doesn't stand down for the same reason again until then.
 const ABSTAIN: Micros = Micros::from_secs(40);
@@ -219,6 +221,7 @@
     fn tick_loop(&self) {
         // Silence counts only while this node answers: during an outage it turns workers away.
         let mut acting_since: Option<Moment> = None;
+        let mut told = Moment(0);
         loop {
             std::thread::sleep(std::time::Duration::from_millis(250));
             let now = self.now();
@@ -230,6 +233,10 @@
             }
             if let Some((_, cluster)) = core.acting(now) {
                 cluster.tick(now);
+                if log::log_enabled!(log::Level::Debug) && now - told > SUMMARY_EVERY {
+                    told = now;
+                    log::debug!("{}", cluster.summary(now));
+                }
                 self.wake(cluster);
                 let unheard = acting_since.is_some_and(|since| cluster.unheard(since, now));
                 if unheard && core.abstain_until <= now {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -278,7 +278,7 @@
         !job.begun() && now - job.accepted_at > self.config.patience
     }
 
-    fn usable(&self, m: &Machine, now: Moment) -> bool {
+    pub fn usable(&self, m: &Machine, now: Moment) -> bool {
         let fresh = m
             .last_report
             .is_some_and(|t| now - t < self.config.report.scaled(2.0));
