--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -178,7 +178,7 @@
         if let Some(view) = self.view_here(id) {
             return PeerReply::Job(view);
         }
-        match self.read_job(id) {
+        match self.read_job(id, Instant::now() + PEER_TIME) {
             Ok(Some(view)) => PeerReply::Job(view),
             Ok(None) => PeerReply::Absent,
             Err(_) => PeerReply::Busy,
@@ -279,7 +279,7 @@
                 self.core().finals.note(id, view);
                 short(200, id, view.state)
             }
-            PeerReply::Unknown => match self.read_job(id) {
+            PeerReply::Unknown => match self.read_job(id, Instant::now() + LOOKUP_TIME) {
                 Ok(Some(view)) if view.is_final() => short(200, id, view.state),
                 Ok(None) => Response::new(404, Vec::new()),
                 _ => Response::busy(RETRY_S),
@@ -356,7 +356,7 @@
             return Lookup::Job(view);
         }
         if self.store.answers(self.now()) {
-            match self.read_job(id) {
+            match self.read_job(id, deadline) {
                 Ok(Some(view)) => {
                     self.core().finals.note(id, view);
                     return Lookup::Job(view);
@@ -378,8 +378,15 @@
 
     /// What the state service knows. The order matters: a job's record is deleted in the same
     /// transaction that writes its final one, so whoever misses the first finds the second.
-    fn read_job(&self, id: &str) -> Result<Option<JobView>, StoreError> {
-        let get = |key: &str| self.store.get_within(key, Urgency::Normal, READ_TIME);
+    fn read_job(&self, id: &str, deadline: Instant) -> Result<Option<JobView>, StoreError> {
+        let get = |key: &str| {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(StoreError::Refused("no time left".into()));
+            }
+            self.store
+                .get_within(key, Urgency::Normal, READ_TIME.min(left))
+        };
         if let Some(row) = get(&job_key(id))? {
             let tasks = from_value::<Submission>(&row.data).map_or(0, |s| s.pieces as u32);
             if let Some(done) = get(&done_key(id, 0))? {
