--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -233,8 +233,8 @@
         let skew = Micros::from_secs_f64(self.settings.settings.skew_ms / 500.0);
         let mut jobs_epoch = None;
         cluster.wall_at_start = self.clock.wall();
-        // Claims first: a job's own tell what of it may have started.
-        for prefix in [CLAIMS_PREFIX, "jobs/", "done/", FLEET_PREFIX] {
+        // Roster and claims first: they tell what of a job may have started.
+        for prefix in [FLEET_PREFIX, CLAIMS_PREFIX, "jobs/", "done/"] {
             let mut since: Option<String> = None;
             loop {
                 if !self.renew_if_due(lead.permit, renewed) {
@@ -283,8 +283,10 @@
                                 cluster.fleet.roster.load(n, row.stamp, entries);
                             }
                             _ => {
+                                // Whatever it named may hold any task of any job.
                                 log::error!("malformed record {}", row.key);
                                 cluster.note_unseen(&row.key, now);
+                                cluster.claims_lost = true;
                             }
                         }
                     } else if let Some((id, chunk)) = rest.split_once('/')
