A start that is stopped within 30 s doesn't count: its job has not begun

Ruled out: the reserve (19 machines may be kept, few were). The first starts of jobs past their patience are kept from being stopped for 30 s. Test: what_was_stopped_at_once_has_not_begun.

--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -130,7 +130,7 @@
     bound_open: u32,
     /// How many attempts they are.
     bound_attempts: u32,
-    /// A report showed one of its tasks running.
+    /// One of its tasks ran for long enough to count as started.
     pub begun: bool,
     requeued: BTreeSet<u32>,
     cursor: u32,
@@ -173,7 +173,7 @@
         }
     }
 
-    /// Some task of it has a place, had one, or may have had one.
+    /// Some task of it has a place, or had one for long enough.
     pub fn begun(&self) -> bool {
         self.bound_attempts > 0 || self.begun || !self.done.is_empty()
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -574,13 +574,14 @@
                 if !a.holds() || a.wanted != Wanted::Run || a.status == Some(TaskStatus::Flushing) {
                     continue;
                 }
-                // Else what begins at last would be stopped at once, again and again.
-                if a.kept || place.reserved {
-                    continue;
-                }
                 let Some(v) = self.jobs.table.get(&key.0) else {
                     continue;
                 };
+                // Else what begins at last would be stopped at once, again and again.
+                let begins = !v.begun && now - v.accepted_at > self.config.patience;
+                if a.kept || begins || place.reserved {
+                    continue;
+                }
                 let Some(team) = v.team else { continue };
                 let ran = (now - a.running_since.unwrap_or(now)).0;
                 victims.push(Victim {
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -107,6 +107,9 @@
     wait: Micros,
 }
 
+/// A start that is stopped sooner doesn't count as one.
+const COUNTS_AFTER: Micros = Micros::from_secs(30);
+
 /// The first time between two probes of a machine in doubt; it doubles up to eight times that.
 const PROBE_WAIT: Micros = Micros::from_secs(2);
 
@@ -442,7 +445,14 @@
             if task.status == TaskStatus::Running && attempt.running_since.is_none() {
                 attempt.running_since = Some(now);
             }
-            job.begun |= task.status == TaskStatus::Running;
+            if let Some(since) = attempt.running_since
+                && !job.begun
+                && now - since > COUNTS_AFTER
+            {
+                job.begun = true;
+                let waited = since - job.accepted_at;
+                log::debug!("{} began after {} s", job.spec.id, waited.as_secs_f64());
+            }
             let unfinished = task.status != TaskStatus::Exited;
             if unfinished
                 && (job.outcome.is_some() || job.done.contains(number))
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -493,6 +493,43 @@
     assert!(crowd > 80, "{crowd} of 159 began");
 }
 
+/// A first task that is stopped soon after its start doesn't count: its job waits on, and what
+/// starts once it has waited too long isn't stopped for others.
+#[test]
+fn what_was_stopped_at_once_has_not_begun() {
+    let mut w = World::new(2, one_team());
+    w.check_in("small-east-1", &[]);
+    w.job(submission("run-1", |s| {
+        s.pieces = 2;
+        s.cpus = decimal(8.0);
+    }));
+    w.at(3.0).check_in("small-east-1", &[]);
+    w.at(6.0).check_in("small-east-1", &["run-1/0#2.1 running"]);
+    for n in 2..60 {
+        w.job(submission(&format!("run-{n}"), |s| {
+            s.pieces = 1;
+            s.cpus = decimal(8.0);
+            s.rank = Rank::High;
+        }));
+    }
+    w.at(9.0).check_in("small-east-1", &["run-1/0#2.1 running"]);
+    w.at(12.0)
+        .check_in("small-east-1", &["run-1/0#2.1 stopped"]);
+    let begun = |w: &World| w.cluster.jobs.get("run-1").unwrap().begun();
+    let early = begun(&w);
+    w.note(&format!("run-1 has begun: {early}"));
+    w.at(95.0)
+        .check_in("small-east-1", &["run-2/0#2.2 done"])
+        .bound();
+    let task = "run-1/0#2.3 running";
+    w.at(98.0).check_in("small-east-1", &[task]).bound();
+    w.at(120.0).check_in("small-east-1", &[task]);
+    w.at(130.0).check_in("small-east-1", &[task]).bound();
+    let late = begun(&w);
+    w.note(&format!("run-1 has begun: {late}"));
+    assert_snapshot!(w.log);
+}
+
 /// The age of a job comes from its record: a takeover doesn't make it wait anew.
 #[test]
 fn waiting_wins_through_a_takeover() {
