--- a/src/cli.rs
+++ b/src/cli.rs
@@ -30,8 +30,9 @@
     #[arg(long, env = "ASPENREEL_SAMPLE", default_value_t = 3,
           value_parser = clap::value_parser!(u64).range(1..=1000))]
     pub sample: u64,
-    /// Changes a round may write, as a share of the state service's limit, in percent
-    #[arg(long, env = "ASPENREEL_WRITE_BUDGET", default_value_t = 25,
+    /// Changes that the leader may write, as a share of the state service's limit, in percent;
+    /// the rest is for submissions
+    #[arg(long, env = "ASPENREEL_WRITE_BUDGET", default_value_t = 60,
           value_parser = clap::value_parser!(u64).range(1..=90))]
     pub write_budget: u64,
     /// Life of the leader's hold, in milliseconds
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -1,6 +1,6 @@
 //! The loop that writes records.
 
-use super::rounds::{CLAIMS_PREFIX, Write, WriteKind, pack};
+use super::rounds::{CLAIMS_PREFIX, Write, WriteKind, affordable, pack};
 use super::{DoneRecord, FinalRecord, JobView};
 use crate::fleet::FLEET_PREFIX;
 use crate::node::Node;
@@ -17,7 +17,7 @@
         let site = &self.settings.settings.state;
         let rate = site.write_rps * self.options.write_budget as f64 / 100.0;
         let round = Micros::from_millis(self.options.round_ms);
-        let mut tokens = TokenBucket::new(rate, rate.max(4.0), self.now());
+        let mut tokens = TokenBucket::new(rate, rate.max(site.txn_ops as f64), self.now());
         let mut next_round = self.now();
         let mut not_before = Moment(0);
         loop {
@@ -34,33 +34,31 @@
                     continue;
                 };
                 let guard = lead.guard();
-                let available = tokens.available(now);
+                let mut left = tokens.available(now).max(0.0) as usize;
                 let mut writes = Vec::new();
-                if available >= 0.0 {
-                    // What somebody waits for: users for final states, starts for the rest.
-                    writes = cluster.due_finals(site.txn_ops);
-                    writes.extend(cluster.due_claims());
-                    writes.extend(cluster.due_roster(false));
-                    writes.truncate(site.write_rps as usize);
+                // First what somebody waits for: starts for the first two, users for the last.
+                let awaited = [
+                    cluster.due_roster(false),
+                    cluster.due_claims(),
+                    cluster.due_finals(site.txn_ops),
+                ];
+                for due in awaited {
+                    writes.extend(affordable(due, &mut left));
                 }
                 if now >= next_round {
                     next_round = now + round;
-                    let budget = available.max(0.0) as usize;
-                    let used = |writes: &[Write]| -> usize {
-                        writes.iter().map(|w| w.changes.len()).sum()
-                    };
-                    let left = budget.saturating_sub(used(&writes));
-                    writes.extend(cluster.due_sets(left));
-                    let left = budget.saturating_sub(used(&writes));
-                    writes.extend(cluster.due_retirements(left, site.txn_ops));
-                    if budget > used(&writes) && !writes.iter().any(Write::is_roster) {
-                        writes.extend(cluster.due_roster(true));
+                    writes.extend(affordable(cluster.due_sets(left), &mut left));
+                    let retired = cluster.due_retirements(left, site.txn_ops);
+                    writes.extend(affordable(retired, &mut left));
+                    if !writes.iter().any(Write::is_roster) {
+                        writes.extend(affordable(cluster.due_roster(true), &mut left));
                     }
                 }
                 if writes.is_empty() || now < not_before {
                     let mut wait = (next_round - now).max(not_before - now);
-                    if available < 0.0 {
-                        wait = wait.min(Micros::from_secs_f64(-available / rate));
+                    if cluster.records_wait(site.txn_ops) {
+                        // Until there are tokens for the smallest write again.
+                        wait = wait.min(Micros::from_secs_f64(1.0 / rate));
                     }
                     let wait = wait
                         .duration()
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -54,6 +54,13 @@
 }
 
 impl Cluster {
+    /// True if somebody waits for a record.
+    pub fn records_wait(&self, txn_ops: usize) -> bool {
+        !self.due_claims().is_empty()
+            || !self.due_roster(false).is_empty()
+            || !self.due_finals(txn_ops).is_empty()
+    }
+
     /// Pages of claims that starts wait for.
     pub fn due_claims(&self) -> Vec<Write> {
         let due = self.claims.due(false).into_iter();
@@ -349,3 +356,18 @@
     }
     packs
 }
+
+/// As many of the writes, in their order, as there are tokens for. One that is too large stops
+/// the others: else small ones would always go before it.
+pub fn affordable(writes: Vec<Write>, left: &mut usize) -> Vec<Write> {
+    let mut taken = Vec::new();
+    for write in writes {
+        let n = write.changes.len();
+        if n > *left {
+            break;
+        }
+        *left -= n;
+        taken.push(write);
+    }
+    taken
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -111,7 +111,7 @@
         let now = clock.now();
         let nodes = settings.members.len() as f64 + 1.0;
         let site = &settings.settings;
-        // Half of what the round budget leaves is for submissions, shared among the nodes.
+        // What the leader's budget leaves is for submissions, shared among the nodes.
         let submit = site.state.write_rps * (1.0 - options.write_budget as f64 / 100.0) / nodes;
         let peers = settings
             .members
@@ -131,7 +131,7 @@
             poked: Condvar::new(),
             workers: WorkerClients::default(),
             peers,
-            submit_tokens: Mutex::new(TokenBucket::new(submit, submit, now)),
+            submit_tokens: Mutex::new(TokenBucket::new(submit, submit.max(4.0), now)),
             cloud_tokens: Mutex::new(TokenBucket::new(site.cloud.rps * 0.9, site.cloud.rps, now)),
             catalog: Mutex::new(None),
             clock,
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -231,6 +231,85 @@
     nodes.until_status(b, "run-5", "done");
 }
 
+/// Processes that are back at once, also in the middle of an election, and an outage on top: every
+/// accepted job is known at every node afterwards, runs to its end, and nothing runs twice.
+#[test]
+fn back_at_once_in_the_middle_of_elections() {
+    let (state, state_addr) = State::start();
+    let (cloud, cloud_addr) = Cloud::start();
+    let mut nodes = Nodes::start(state_addr, cloud_addr, "back");
+    let named = |i: usize| (format!("n-{i}"), nodes.public[i]);
+    *cloud.controllers.lock().unwrap() = (0..3).map(named).collect();
+    for n in 0..3 {
+        nodes.until(n, "GET", "/up", &[], |s, _| s == 200);
+    }
+    let accepted = |s: u16, _: &Option<Answer>| s == 200 || s == 201;
+    let mut jobs = Vec::new();
+    for round in 0..3 {
+        for n in 0..3 {
+            let id = format!("run-{}", 10 * round + n);
+            nodes.until(n, "POST", "/work", &job(&id, 3, 2.0), accepted);
+            jobs.push(id);
+        }
+        *state.down.lock().unwrap() = round == 1;
+        // Whoever leads goes, then all of them, one right after the other.
+        let first = leader(&state).unwrap_or(0);
+        for n in [first, 0, 1, 2] {
+            nodes.children[n].kill().unwrap();
+            nodes.children[n].wait().unwrap();
+            nodes.children[n] = spawn(&nodes.configs[n]);
+        }
+        *state.down.lock().unwrap() = false;
+    }
+    for id in &jobs {
+        for n in 0..3 {
+            nodes.until_status(n, id, "done");
+        }
+    }
+    assert_eq!(cloud.ground.started.lock().unwrap().len(), 27);
+    assert_eq!(*cloud.ground.broken.lock().unwrap(), Vec::<String>::new());
+}
+
+/// A controller that has only its workers left stops acting, names nobody, and says at `/up` that
+/// it can't serve; it comes back without a restart.
+#[test]
+fn with_workers_only() {
+    let (state, state_addr) = State::start();
+    let (_cloud, cloud_addr) = Cloud::start();
+    // Its peers are never there.
+    let mut nodes = Nodes::start(state_addr, cloud_addr, "alone");
+    for child in nodes.children.drain(1..) {
+        let mut child = child;
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+    nodes.until(0, "GET", "/up", &[], |s, _| s == 200);
+    nodes.until(0, "POST", "/work", &job("run-1", 1, 1.0), |s, _| s == 201);
+    let report = encode(
+        &cbor!({
+            "host" => "m-9", "addr" => "127.0.0.1:1", "build" => "small", "yard" => "east",
+            "loaners" => true, "shift" => 1, "tick" => 1, "baton" => 0, "pieces" => []
+        })
+        .unwrap(),
+    );
+    nodes.until(0, "POST", "/checkin", &report, |s, _| s == 503 || s == 200);
+    *state.down.lock().unwrap() = true;
+    nodes.until(0, "POST", "/checkin", &report, |s, _| s == 421);
+    let client = Client::new(nodes.public[0]);
+    let (status, body) = client
+        .call("POST", "/checkin", &report, Duration::from_secs(5))
+        .unwrap();
+    let hint: std::collections::BTreeMap<String, String> = decode(&body).unwrap();
+    assert_eq!((status, hint.len()), (421, 0));
+    nodes.until(0, "GET", "/up", &[], |s, _| s == 503);
+    assert_eq!(nodes.call(0, "GET", "/work/run-1", &[]).0, 503);
+    assert_eq!(nodes.call(0, "GET", "/work/run-2", &[]).0, 503);
+    *state.down.lock().unwrap() = false;
+    nodes.until(0, "GET", "/up", &[], |s, _| s == 200);
+    nodes.until(0, "GET", "/work/run-1", &[], |s, _| s == 200);
+    nodes.until(0, "GET", "/work/run-2", &[], |s, _| s == 404);
+}
+
 /// Whatever an older leader wrote and the network delivers late fails on the leader's stamp.
 #[test]
 fn late_transactions_of_an_older_leader_fail() {
