--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -77,7 +77,7 @@
                 guards.extend(pack.iter().flat_map(|w| w.guards.iter().cloned()));
                 let changes: Vec<_> = pack.iter().flat_map(|w| w.changes.clone()).collect();
                 tokens.force(changes.len() as f64, self.now());
-                match self.store.multi(&guards, &changes, Urgency::Normal) {
+                match self.store.multi(&guards, &changes, Urgency::Granted) {
                     Ok(Commit::Done { epoch }) => self.note_written(&pack, epoch),
                     Ok(Commit::Conflict { failed }) => {
                         if failed.contains(&guard.key) {
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -218,7 +218,7 @@
         submission.accepted_us = wall.0;
         let guards = [Guard::new(job_key(&id), 0), Guard::new(final_key(&id), 0)];
         let changes = [Change::write(job_key(&id), to_value(&submission))];
-        match self.store.multi(&guards, &changes, Urgency::Normal) {
+        match self.store.multi(&guards, &changes, Urgency::Granted) {
             Ok(Commit::Done { epoch }) => {
                 let now = self.now();
                 let mut core = self.core();
--- a/src/state_store/mod.rs
+++ b/src/state_store/mod.rs
@@ -120,6 +120,8 @@
 pub enum Urgency {
     /// Renewing the hold and taking the lead never wait behind anything.
     Lead,
+    /// A write that another bucket has let through: reads for users can't keep it out.
+    Granted,
     Normal,
     /// Leaves half of the tokens to the others.
     Lazy,
@@ -186,7 +188,7 @@
         {
             let mut bucket = self.bucket();
             let granted = match urgency {
-                Urgency::Lead => {
+                Urgency::Lead | Urgency::Granted => {
                     bucket.force(1.0, now);
                     true
                 }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -309,6 +309,19 @@
     nodes.until(0, "GET", "/work/run-2", &[], |s, _| s == 404);
 }
 
+/// Reads for users may use up a node's requests: writes that their own bucket let through go out.
+#[test]
+fn reads_do_not_keep_writes_out() {
+    let (_state, addr) = State::start();
+    let store = Store::new(addr, 1e-6, Arc::new(Clock::default()));
+    assert!(store.get("jobs/run-1", Urgency::Normal).unwrap().is_none());
+    assert!(store.get("jobs/run-1", Urgency::Normal).is_err());
+    let change = [Change::write("jobs/run-1", to_value(&1))];
+    assert!(store.multi(&[], &change, Urgency::Normal).is_err());
+    let written = store.multi(&[], &change, Urgency::Granted).unwrap();
+    assert!(matches!(written, Commit::Done { .. }));
+}
+
 /// Whatever an older leader wrote and the network delivers late fails on the leader's stamp.
 #[test]
 fn late_transactions_of_an_older_leader_fail() {
