Takeovers: gone machines proven sooner, booting ones not waited for; unreached ones let go

Machines that were taken shortly before it still stood in the lagging list, were then counted as existing only from that list on, and so proven gone 19 s later; machines that were booting stood on the roster from their rental on. A third find: a machine both known and unseen went through the test of two lists twice in one list. And a machine that refuses connections was called again at once, without end; what was to start there waited for its lease.

Now existence counts from the roster's record or from how long the list says it was held; a machine goes on the roster when it is first heard from; lists follow each second while a takeover waits; starts that never left an unreached machine go elsewhere at once. An accepted job is added to the leader's memory only under the term under which it was written, and clocks are read under the lock, for a process may stand still anywhere.

Ruled out: reading the records (0.1 s), counting workers in (5 s). What remains is the list's lag.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -29,6 +29,8 @@
     pub objectives: Vec<Objective>,
     /// A job that has not begun for this long goes before all others with its first tasks.
     pub patience: Micros,
+    /// Names of machines that are gone, kept against late copies of their reports.
+    pub remembered: usize,
 }
 
 /// Beside clock drift, allow for timers and for time between reading a clock and sending.
--- a/src/fleet/edge.rs
+++ b/src/fleet/edge.rs
@@ -3,7 +3,6 @@
 use super::HireResult;
 use super::wire::{Catalog, MachineList, Names, RentRequest};
 use crate::http::cbor::{decode, encode};
-use crate::http::client::CallError;
 use crate::node::Node;
 use crate::state_store::{Change, Urgency, from_value, to_value};
 use crate::time::{Micros, Moment};
@@ -14,6 +13,8 @@
 const CALL_TIME: Duration = Duration::from_secs(4);
 const STEP: Duration = Duration::from_millis(500);
 const LIST_EVERY: Micros = Micros::from_secs(3);
+/// While a takeover waits for machines that lists may prove to be gone.
+const LIST_SOON: Micros = Micros::from_secs(1);
 const CATALOG_EVERY: Micros = Micros::from_secs(60);
 const LIST_PAGE: usize = 500;
 
@@ -34,7 +35,7 @@
                 None
             }
             Ok(answer) => Some(answer),
-            Err(CallError::Unsent(e) | CallError::Unknown(e)) => {
+            Err(e) => {
                 log::debug!("cloud: {path}: {e}");
                 None
             }
@@ -98,10 +99,12 @@
                 let Some((lead, cluster)) = core.acting(now) else {
                     continue;
                 };
-                let due = cluster
-                    .fleet
-                    .last_list
-                    .is_none_or(|t| now - t >= LIST_EVERY);
+                let every = if cluster.released {
+                    LIST_EVERY
+                } else {
+                    LIST_SOON
+                };
+                let due = cluster.fleet.last_list.is_none_or(|t| now - t >= every);
                 (due, lead.term)
             };
             let catalog_due = last_catalog.is_none_or(|t| now - t > CATALOG_EVERY);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -112,7 +112,8 @@
     /// When rentals were last planned.
     planned: Option<Moment>,
     /// Machines that may hold tasks. A machine is written down before its first one, as soon as
-    /// it is known to exist, so that no start has to wait for it.
+    /// it is heard from. Sooner would spare its first task a wait, but a takeover then waits for
+    /// every machine that is still booting, and some machine nearly always is.
     pub roster: Pages<u64>,
 }
 
@@ -130,7 +131,6 @@
 /// Plans are at least this long apart for each machine: one looks at every task on every machine.
 const PLAN_SPACING: Micros = Micros(500);
 const MAX_RETURN: usize = 100;
-const GONE_KEPT: usize = 2000;
 
 impl Fleet {
     pub fn is_gone(&self, name: &str) -> bool {
@@ -470,7 +470,6 @@
                     m.list_status = Some(ListStatus::Starting);
                     m.last_listed = Some(now);
                     m.exists_since = Some(now);
-                    m.recorded = self.enroll(&machine, now);
                     self.machines.insert(machine, m);
                 }
             }
@@ -487,7 +486,19 @@
             }
             let total = self.fleet.room_of(&l.type_name);
             let started = self.started;
-            let recorded = self.enroll(&l.name, now);
+            let held = Micros::from_secs_f64(l.held_s.0);
+            // As of the list it was held that long. If that reaches back beyond the oldest moment
+            // that the list may describe, it existed then; else it exists now, as far as is known.
+            let described = Moment(asked.0.saturating_sub(self.config.list_lag.scaled(2.0).0));
+            let existed = if held >= now - described {
+                described
+            } else {
+                now
+            };
+            let existed = match self.old_records.get(&l.name) {
+                Some(recorded) => existed.min(*recorded),
+                None => existed,
+            };
             let m = self.machines.entry(l.name.clone()).or_insert_with(|| {
                 let mut m = crate::workers::Machine::new(
                     &l.name,
@@ -498,11 +509,10 @@
                     now,
                 );
                 m.lease_from = started;
-                m.recorded = recorded;
-                m.exists_since = Some(now);
-                m.known_since = Moment(now.0.saturating_sub((l.held_s.0 * 1e6) as u64));
+                m.known_since = Moment(now.0.saturating_sub(held.0));
                 m
             });
+            m.exists_since = Some(m.exists_since.map_or(existed, |t| t.min(existed)));
             m.list_status = Some(l.status);
             m.last_listed = Some(now);
             if l.status == ListStatus::Failed && !m.lost {
@@ -527,14 +537,14 @@
         let oldest = self.config.list_lag.scaled(2.0) + Micros::from_secs(3);
         let named: std::collections::HashSet<&str> = list.iter().map(|l| l.name.as_str()).collect();
         let mut gone = Vec::new();
-        let names: Vec<String> = self
+        // Each once: a machine may be known and unseen.
+        let names: BTreeSet<&String> = self
             .machines
             .keys()
             .chain(self.unseen.iter())
             .filter(|n| !named.contains(n.as_str()))
-            .cloned()
             .collect();
-        for name in &names {
+        for name in names {
             let existed = match self.machines.get(name) {
                 Some(m) => m.exists_since,
                 None => self.old_records.get(name).copied(),
@@ -664,7 +674,7 @@
             self.fleet.gone.insert(name.clone());
         }
         // Names come in the order of creation: the first ones are the oldest.
-        while self.fleet.gone.len() > GONE_KEPT {
+        while self.fleet.gone.len() > self.config.remembered {
             self.fleet.gone.pop_first();
         }
     }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -12,9 +12,12 @@
 
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
-    /// Nothing was sent: the request was surely not executed.
+    /// Nothing was sent, for want of something here: the request was surely not executed.
     #[error("no connection: {0}")]
     Unsent(String),
+    /// No connection came about: nothing was sent. Whoever it was meant for is not reached.
+    #[error("not reached: {0}")]
+    Unreached(String),
     /// The request may have been executed, or may yet be.
     #[error("no answer: {0}")]
     Unknown(String),
@@ -54,8 +57,7 @@
         let mut stream = match reused {
             Some(s) => s,
             None => {
-                let s = TcpStream::connect_timeout(&self.addr, timeout)
-                    .map_err(|e| CallError::Unsent(e.to_string()))?;
+                let s = TcpStream::connect_timeout(&self.addr, timeout).map_err(no_connection)?;
                 let _ = s.set_nodelay(true);
                 s
             }
@@ -82,6 +84,19 @@
     }
 }
 
+/// Whether it was for this side or for the other that no connection came about.
+fn no_connection(e: std::io::Error) -> CallError {
+    use ErrorKind::{ConnectionRefused, ConnectionReset, HostUnreachable, NetworkUnreachable};
+    match e.kind() {
+        ErrorKind::TimedOut
+        | ConnectionRefused
+        | ConnectionReset
+        | HostUnreachable
+        | NetworkUnreachable => CallError::Unreached(e.to_string()),
+        _ => CallError::Unsent(e.to_string()),
+    }
+}
+
 fn unknown(text: impl Into<String>) -> CallError {
     CallError::Unknown(text.into())
 }
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -11,6 +11,8 @@
 
 /// Final states that complete within this long share a transaction.
 const GATHER: Duration = Duration::from_millis(25);
+/// New machines are written down at most once in so many tokens' time.
+const ROSTER_TOKENS: f64 = 5.0;
 
 impl Node {
     pub fn rounds_loop(&self) {
@@ -20,6 +22,9 @@
         let mut tokens = TokenBucket::new(rate, rate.max(site.txn_ops as f64), self.now());
         let mut next_round = self.now();
         let mut not_before = Moment(0);
+        // Machines come up one by one: they share pages, and leave most of the tokens to claims.
+        let roster_every = Micros::from_secs_f64(ROSTER_TOKENS / rate);
+        let mut next_roster = self.now();
         loop {
             std::thread::sleep(GATHER);
             let now = self.now();
@@ -37,14 +42,15 @@
                 let mut left = tokens.available(now).max(0.0) as usize;
                 let mut writes = Vec::new();
                 // First what somebody waits for: starts for the first two, users for the last.
-                let awaited = [
-                    cluster.due_roster(false),
-                    cluster.due_claims(),
-                    cluster.due_finals(site.txn_ops),
-                ];
-                for due in awaited {
-                    writes.extend(affordable(due, &mut left));
+                if now >= next_roster {
+                    writes.extend(affordable(cluster.due_roster(false), &mut left));
+                    if !writes.is_empty() {
+                        next_roster = now + roster_every;
+                    }
                 }
+                writes.extend(affordable(cluster.due_claims(), &mut left));
+                let finals = cluster.due_finals(site.txn_ops);
+                writes.extend(affordable(finals, &mut left));
                 if now >= next_round {
                     next_round = now + round;
                     writes.extend(affordable(cluster.due_sets(left), &mut left));
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -5,7 +5,7 @@
 use crate::http::cbor::{decode, encode};
 use crate::http::server::Response;
 use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest};
-use crate::node::Node;
+use crate::node::{Core, Node};
 use crate::state_store::{Change, Commit, Guard, StoreError, Urgency, from_value, to_value};
 use crate::time::Micros;
 use serde::{Deserialize, Serialize};
@@ -231,11 +231,16 @@
         submission.accepted_us = wall.0;
         let guards = [Guard::new(job_key(&id), 0), Guard::new(final_key(&id), 0)];
         let changes = [Change::write(job_key(&id), to_value(&submission))];
+        let leading = |core: &Core| core.lead.as_ref().map(|lead| lead.term);
+        let term = leading(&self.core());
         match self.store.multi(&guards, &changes, Urgency::Granted) {
             Ok(Commit::Done { epoch }) => {
-                let now = self.now();
                 let mut core = self.core();
+                let now = self.now();
+                // Under another term by now, as after standing still, the job may be over and
+                // retired by somebody else: what was read at the takeover tells.
                 if core.finals.get(&id).is_none()
+                    && leading(&core) == term
                     && let Some((_, cluster)) = core.acting(now)
                 {
                     cluster.add_job(&submission, epoch, now, wall);
@@ -337,8 +342,8 @@
 
     /// What this node may tell by itself.
     fn view_here(&self, id: &str) -> Option<JobView> {
-        let now = self.now();
         let mut core = self.core();
+        let now = self.now();
         core.finals
             .get(id)
             .or_else(|| core.acting(now).and_then(|(_, c)| c.view(id)))
--- a/src/node.rs
+++ b/src/node.rs
@@ -24,17 +24,23 @@
 /// goes on, and doesn't stand down for the same reason again until then.
 const ABSTAIN: Micros = Micros::from_secs(40);
 
-/// Final answers that a node remembers; older ones are read from the state service.
-const FINALS_KEPT: usize = 4000;
-
 /// Final states that were recorded: these never change, so any node may tell them from memory.
+/// Older ones are read from the state service.
 #[derive(Debug, Default)]
 pub struct Finals {
+    most: usize,
     views: HashMap<String, JobView>,
     age: VecDeque<String>,
 }
 
 impl Finals {
+    pub fn new(most: usize) -> Finals {
+        Finals {
+            most,
+            ..Finals::default()
+        }
+    }
+
     pub fn get(&self, id: &str) -> Option<JobView> {
         self.views.get(id).copied()
     }
@@ -42,7 +48,7 @@
     pub fn note(&mut self, id: &str, view: JobView) {
         if view.is_final() && self.views.insert(id.to_string(), view).is_none() {
             self.age.push_back(id.to_string());
-            if self.age.len() > FINALS_KEPT
+            if self.age.len() > self.most
                 && let Some(old) = self.age.pop_front()
             {
                 self.views.remove(&old);
@@ -126,7 +132,10 @@
                 clock.clone(),
             ),
             cloud: Client::new(settings.endpoints.cloud),
-            core: Mutex::new(Core::default()),
+            core: Mutex::new(Core {
+                finals: Finals::new(site.quota.remembered()),
+                ..Core::default()
+            }),
             changed: Condvar::new(),
             poked: Condvar::new(),
             workers: WorkerClients::default(),
@@ -170,6 +179,7 @@
             reserve: self.options.reserve as f64 / 100.0,
             objectives: site.objectives.clone(),
             patience: Micros::from_millis(self.options.patience_ms),
+            remembered: site.quota.remembered(),
         }
     }
 
@@ -230,8 +240,8 @@
         let mut told = Moment(0);
         loop {
             std::thread::sleep(std::time::Duration::from_millis(250));
-            let now = self.now();
             let mut core = self.core();
+            let now = self.now();
             if core.acting(now).is_none() {
                 acting_since = None;
             } else {
@@ -257,8 +267,8 @@
     fn answer_peer(&self, request: PeerRequest) -> PeerReply {
         match request {
             PeerRequest::Status { id } => {
-                let now = self.now();
                 let mut core = self.core();
+                let now = self.now();
                 if let Some(view) = core.finals.get(&id) {
                     return PeerReply::Job(view);
                 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -170,6 +170,8 @@
     over: Vec<i64>,
     /// The lowest rank of which anything holds a place.
     lowest: Option<Rank>,
+    /// The highest rank that waits, and the highest that waits for its team's guarantee.
+    highest: (Option<Rank>, Option<Rank>),
 }
 
 impl Cluster {
@@ -312,6 +314,12 @@
             return;
         }
         let mut pass = self.begin_pass(now);
+        let ranks = |p: &Priority| p.rank.0;
+        let within = order.iter().filter(|(p, _)| !p.beyond_guarantee);
+        pass.highest = (
+            order.iter().map(|(p, _)| ranks(p)).max(),
+            within.map(|(p, _)| ranks(p)).max(),
+        );
         for (priority, id) in order {
             self.place_job(priority, id, &mut pass, now);
         }
@@ -345,6 +353,7 @@
             barren: Vec::new(),
             team_room: self.team_room_beside(&used),
             victims: None,
+            highest: (None, None),
             lowest: self
                 .jobs
                 .table
@@ -572,10 +581,11 @@
         Some(fetch + 3.0 * left + dear + failed)
     }
 
-    /// What could be stopped, the least loss first.
-    fn victims(&self, places: &[Place], now: Moment) -> Vec<Victim> {
+    /// What could be stopped for anything that waits, the least loss first.
+    fn victims(&self, pass: &Pass, now: Moment) -> Vec<Victim> {
+        let (highest, within) = pass.highest;
         let mut victims = Vec::new();
-        for (at, place) in places.iter().enumerate() {
+        for (at, place) in pass.places.iter().enumerate() {
             let Some(m) = self.machines.get(&place.name) else {
                 continue;
             };
@@ -592,6 +602,10 @@
                     continue;
                 }
                 let Some(team) = v.team else { continue };
+                let rank = Some(v.spec.rank);
+                if rank >= highest && (rank > within || pass.over[team] <= 0) {
+                    continue;
+                }
                 let ran = (now - a.running_since.unwrap_or(now)).0;
                 victims.push(Victim {
                     lost: ran.saturating_mul(v.spec.need.cpu as u64),
@@ -604,7 +618,7 @@
                 });
             }
         }
-        victims.sort_by_key(|v| (v.lost, v.at, v.key));
+        victims.sort_unstable_by_key(|v| (v.lost, v.at, v.key));
         victims
     }
 
@@ -653,7 +667,7 @@
             return;
         }
         if pass.victims.is_none() {
-            pass.victims = Some(self.victims(&pass.places, now));
+            pass.victims = Some(self.victims(pass, now));
         }
         let mut stops = Vec::new();
         for v in pass.victims.iter_mut().flatten() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -165,9 +165,9 @@
         (self.memory_kb() * 1024.0 / 8.0) as usize
     }
 
-    /// Known machines and jobs are remembered up to this many after they are gone.
+    /// So many machines that are gone, and final states, are remembered: some 100 bytes each.
     pub fn remembered(&self) -> usize {
-        (self.memory_kb() / 16.0) as usize
+        (self.memory_kb() / 8.0) as usize
     }
 
     fn memory_kb(&self) -> f64 {
--- a/src/state_store/mod.rs
+++ b/src/state_store/mod.rs
@@ -206,7 +206,7 @@
             Ok(_) => self.last_answer.store(at, Ordering::Relaxed),
         }
         let (status, answer) = result.map_err(|e| match e {
-            CallError::Unsent(e) => StoreError::Refused(e),
+            CallError::Unsent(e) | CallError::Unreached(e) => StoreError::Refused(e),
             CallError::Unknown(e) => StoreError::Unknown(e),
         })?;
         match status {
--- a/src/workers/edge.rs
+++ b/src/workers/edge.rs
@@ -127,8 +127,8 @@
                 }
             };
             let result = self.call_worker(&call);
-            let now = self.now();
             let mut core = self.core();
+            let now = self.now();
             // Even if the lead is in doubt by now: what is known of the start must be kept.
             let Some(cluster) = core.cluster.as_mut().filter(|c| c.term == call.token) else {
                 continue;
@@ -181,13 +181,13 @@
                 log::info!("{} answers {status} to orders", call.machine);
                 DirectResult::Unknown
             }
-            Err(CallError::Unsent(e)) => {
-                log::debug!("{} not reached: {e}", call.machine);
-                DirectResult::Unsent
-            }
-            Err(CallError::Unknown(e)) => {
+            Err(e) => {
                 log::debug!("{}: {e}", call.machine);
-                DirectResult::Unknown
+                match e {
+                    CallError::Unsent(_) => DirectResult::Unsent,
+                    CallError::Unreached(_) => DirectResult::Unreached,
+                    CallError::Unknown(_) => DirectResult::Unknown,
+                }
             }
         }
     }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -176,8 +176,10 @@
 pub enum DirectResult {
     /// Executed, or surely refused: the worker's report after it.
     Report(Report),
-    /// Never sent.
+    /// Never sent, for want of a socket here.
     Unsent,
+    /// Never sent: no connection to the machine came about.
+    Unreached,
     Unknown,
 }
 
@@ -292,11 +294,16 @@
                 now,
             );
             machine.lease_from = self.started;
-            machine.recorded = self.enroll(&report.machine, now);
             // A report may be late, and its machine gone: only a list or a rental proves more.
             machine.exists_since = self.old_records.get(&report.machine).copied();
             self.machines.insert(report.machine.clone(), machine);
         }
+        if !self.machines[&report.machine].recorded {
+            let recorded = self.enroll(&report.machine, now);
+            if let Some(machine) = self.machines.get_mut(&report.machine) {
+                machine.recorded = recorded;
+            }
+        }
         let Some(machine) = self.machines.get_mut(&report.machine) else {
             return CheckIn::Stale;
         };
@@ -780,6 +787,30 @@
         })
     }
 
+    /// Starts that never left, on a machine that isn't reached: they go elsewhere at once instead
+    /// of when its lease is over. A connection attempt that was given up never completes.
+    fn drop_unsent(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        let unsent = |a: &Attempt| {
+            a.status.is_none() && a.sent.is_none() && a.direct == Direct::Settled && a.bound
+        };
+        let keys: Vec<AttemptKey> = machine
+            .attempts
+            .iter()
+            .filter(|(_, a)| unsent(a))
+            .map(|(k, _)| *k)
+            .collect();
+        for key in keys {
+            machine.attempts.remove(&key);
+            if let Some(job) = self.jobs.table.get_mut(&key.0) {
+                job.unbind(key.1);
+            }
+            self.dirty = true;
+        }
+    }
+
     /// Settles a direct call. It renews no lease.
     pub fn direct_done(&mut self, call: &DirectCall, result: DirectResult, now: Moment) {
         let Some(machine) = self.machines.get_mut(&call.machine) else {
@@ -790,8 +821,9 @@
             DirectResult::Unknown => Direct::Uncertain,
             _ => Direct::Settled,
         };
+        let lost = matches!(result, DirectResult::Unknown | DirectResult::Unreached);
         match &result {
-            DirectResult::Unknown if !machine.lost && !call.probe => machine.note_loss(now),
+            _ if lost && !machine.lost && !call.probe => machine.note_loss(now),
             // Only what reached it can have been answered.
             DirectResult::Report(r)
                 if r.machine == call.machine
@@ -807,6 +839,7 @@
                 attempt.direct = settled;
             }
         }
+        let answered = matches!(result, DirectResult::Report(_));
         if let DirectResult::Report(report) = result
             && report.machine == call.machine
             && report.token <= self.term
@@ -816,8 +849,11 @@
             self.take_in(&report, false, now);
             self.place_soon(now);
         }
-        // What was decided meanwhile waits for the next call.
-        if settled == Direct::Settled && !call.probe {
+        if lost {
+            self.drop_unsent(&call.machine);
+        } else if answered && !call.probe {
+            // What was decided meanwhile waits for the next call. Without an answer it waits for
+            // a check-in: a machine that refuses connections would be called without end.
             self.poked.insert(call.machine.clone());
         }
     }
--- a/tests/common/trace.rs
+++ b/tests/common/trace.rs
@@ -107,6 +107,7 @@
             reserve: 0.0,
             objectives: Vec::new(),
             patience: Micros::from_secs(90),
+            remembered: 1000,
         };
         let mut cluster = Cluster::new(config, term, at(0.0), 7);
         cluster.fleet.catalog = catalog().types();
@@ -256,6 +257,7 @@
         let end = match &result {
             DirectResult::Report(_) => "answered",
             DirectResult::Unsent => "not sent",
+            DirectResult::Unreached => "no connection",
             DirectResult::Unknown => "no answer",
         };
         self.note(&format!(
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -109,6 +109,55 @@
     assert_snapshot!(w.log);
 }
 
+/// A lagging list may still name machines that were taken before a takeover. That they existed long
+/// before is known from the roster and from how long they were held: the next two lists prove
+/// that they are gone, and earlier jobs don't wait for most of a lease.
+#[test]
+fn listed_late_and_gone() {
+    let mut w = World::new(5, one_team());
+    w.recorded("big-east-9", -60.0);
+    w.old_job(submission("run-1", |s| s.pieces = 1));
+    w.at(1.0).check_in("big-east-1", &[]);
+    w.at(2.0).list(&[
+        ("big-east-1", "running"),
+        ("big-east-8", "running"),
+        ("big-east-9", "running"),
+    ]);
+    w.at(5.0).list(&[("big-east-1", "running")]).bound();
+    w.at(7.0).check_in("big-east-1", &[]);
+    w.at(8.0).list(&[("big-east-1", "running")]);
+    w.tick(8.2).bound();
+    w.at(11.0).list(&[("big-east-1", "running")]);
+    let known: Vec<&String> = w.cluster.machines.keys().collect();
+    let known = format!("known: {known:?}");
+    w.note(&known);
+    assert_snapshot!(w.log);
+}
+
+/// A machine goes on the roster when it is first heard from: what still boots at a takeover can
+/// hold nothing, and nobody waits for it.
+#[test]
+fn booting_machines_are_not_waited_for() {
+    let mut w = World::new(2, one_team());
+    w.job(submission("run-1", |s| s.pieces = 1));
+    w.cluster.fleet.listed = true;
+    w.cluster.plan_rentals(at(1.0));
+    let hires = w.cluster.fleet.hires.clone();
+    let rented = HireResult::Rented(vec!["small-east-7".to_string()]);
+    w.cluster.hired(&hires[0].name, rented, at(1.0));
+    let due = |w: &World| format!("roster pages due: {}", w.cluster.due_roster(true).len());
+    let before = due(&w);
+    w.note(&before);
+    let first = w.report("small-east-7", 2, 1, &[]);
+    w.cluster.check_in(&first, at(9.0));
+    let after = due(&w);
+    w.at(9.0).note(&after);
+    w.bound();
+    w.record_fleet();
+    w.at(12.0).check_in("small-east-7", &[]).bound();
+    assert_snapshot!(w.log);
+}
+
 /// Late reports change nothing; one that a direct answer overtook is still answered.
 #[test]
 fn late_reports() {
@@ -442,6 +491,27 @@
     assert_snapshot!(w.log);
 }
 
+/// A machine that refuses connections isn't called again and again; what was to start there starts
+/// elsewhere at once, and not when its lease is over.
+#[test]
+fn unreached_machines() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.at(1.0).job(submission("run-1", |s| s.pieces = 2));
+    w.cluster.place(at(1.0));
+    w.record_fleet();
+    w.bound().direct(|_| DirectResult::Unreached);
+    w.bound().direct(|_| unreachable!());
+    // Another machine takes them; the first is asked again once it reports.
+    w.at(2.0).check_in("big-east-2", &[]).bound();
+    w.at(3.0).check_in("big-east-1", &[]);
+    w.direct(|w| DirectResult::Report(w.report("big-east-1", 2, 1, &[])));
+    w.at(3.1)
+        .direct(|_| DirectResult::Unsent)
+        .direct(|_| unreachable!());
+    assert_snapshot!(w.log);
+}
+
 /// Endless small and urgent work, from `from` on, on a machine that it fills. Returns when the
 /// jobs of `patient` began, by second; `over` carries running tasks into a next leader's term.
 fn crowded(
