Rooms worked out once a change of a machine; kept connections make room for incoming ones

Few machines change between two passes: what is free is kept until something about it changes.

Now the longest unused are closed.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -186,11 +186,10 @@
         }
         for (machine, key) in running {
             // Not even time to save: nobody has a use for what it does now.
-            if let Some(a) = self
-                .machines
-                .get_mut(&machine)
-                .and_then(|m| m.attempts.get_mut(&key))
+            if let Some(m) = self.machines.get_mut(&machine)
+                && let Some(a) = m.attempts.get_mut(&key)
             {
+                m.rooms.set(None);
                 a.wanted = crate::workers::Wanted::Stop {
                     leeway: Micros::ZERO,
                 };
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -263,7 +263,11 @@
         self.claims.remove(id);
         self.awaiting_claim.remove(&job_id);
         for m in self.machines.values_mut() {
+            let before = m.attempts.len();
             m.attempts.retain(|k, _| k.0 != job_id);
+            if m.attempts.len() < before {
+                m.rooms.set(None);
+            }
         }
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -186,6 +186,12 @@
 
     /// What is left on a machine, and what will be free there once what is being stopped is gone.
     fn rooms(&self, m: &Machine) -> (Room, Room) {
+        let rooms = m.rooms.get().unwrap_or_else(|| self.count_rooms(m));
+        m.rooms.set(Some(rooms));
+        rooms
+    }
+
+    fn count_rooms(&self, m: &Machine) -> (Room, Room) {
         if m.ghosts.iter().any(|g| !g.exited) {
             // Nobody knows what a job without a record takes.
             return (Room::default(), Room::default());
@@ -412,6 +418,7 @@
             let mut attempt = Attempt::placed(now);
             attempt.kept = begins;
             machine.attempts.insert((id, task, number), attempt);
+            machine.rooms.set(None);
             machine.idle_since = None;
             if task < job.claimed {
                 self.poked.insert(place.name.clone());
@@ -714,12 +721,11 @@
         } else {
             Micros::ZERO
         };
-        if let Some(a) = self
-            .machines
-            .get_mut(machine)
-            .and_then(|m| m.attempts.get_mut(&key))
+        if let Some(m) = self.machines.get_mut(machine)
+            && let Some(a) = m.attempts.get_mut(&key)
         {
             a.wanted = Wanted::Stop { leeway };
+            m.rooms.set(None);
             log::debug!("stopping {}/{} on {machine}", job.spec.id, key.1);
             self.poked.insert(machine.to_string());
         }
--- a/src/workers/edge.rs
+++ b/src/workers/edge.rs
@@ -25,7 +25,35 @@
 const UNUSED: Micros = Micros::from_secs(60);
 
 /// Kept-open connections to workers, by address, and when they were last used.
-pub type WorkerClients = Mutex<HashMap<SocketAddr, (Arc<Client>, Moment)>>;
+#[derive(Default)]
+pub struct WorkerClients(Mutex<HashMap<SocketAddr, (Arc<Client>, Moment)>>);
+
+impl WorkerClients {
+    /// A kept client, or one for this call only when there are as many as sockets allow. When they
+    /// allow fewer than there are, since more workers and users have come in, those that were not
+    /// used for longest are closed.
+    fn get(&self, addr: SocketAddr, now: Moment, most: usize) -> Arc<Client> {
+        let mut clients = self.0.lock().unwrap_or_else(|e| e.into_inner());
+        if clients.len() > most {
+            let mut used: Vec<Moment> = clients.values().map(|(_, used)| *used).collect();
+            used.sort_unstable();
+            let last = used[clients.len() - most - 1];
+            clients.retain(|_, (_, used)| *used > last);
+        }
+        if let Some((client, used)) = clients.get_mut(&addr) {
+            *used = now;
+            return client.clone();
+        }
+        if clients.len() >= most {
+            clients.retain(|_, (_, used)| now - *used < UNUSED);
+        }
+        let client = Arc::new(Client::new(addr));
+        if clients.len() < most {
+            clients.insert(addr, (client.clone(), now));
+        }
+        client
+    }
+}
 
 impl Node {
     pub fn check_in(&self, body: &[u8]) -> Response {
@@ -138,31 +166,13 @@
         }
     }
 
-    /// A kept client, or one for this call only when there are as many as sockets allow.
-    fn worker_client(&self, addr: SocketAddr) -> Arc<Client> {
-        let now = self.now();
-        let open = self.open.load(Ordering::Relaxed);
-        let most = self.settings.settings.quota.kept_clients(open);
-        let mut clients = self.workers.lock().unwrap_or_else(|e| e.into_inner());
-        if let Some((client, used)) = clients.get_mut(&addr) {
-            *used = now;
-            return client.clone();
-        }
-        if clients.len() >= most {
-            clients.retain(|_, (_, used)| now - *used < UNUSED);
-        }
-        let client = Arc::new(Client::new(addr));
-        if clients.len() < most {
-            clients.insert(addr, (client.clone(), now));
-        }
-        client
-    }
-
     fn call_worker(&self, call: &DirectCall) -> DirectResult {
         let Ok(addr) = call.addr.parse::<SocketAddr>() else {
             return DirectResult::Unsent;
         };
-        let client = self.worker_client(addr);
+        let open = self.open.load(Ordering::Relaxed);
+        let most = self.settings.settings.quota.kept_clients(open);
+        let client = self.workers.get(addr, self.now(), most);
         let body = encode(&Commands {
             token: call.token,
             session: call.session,
@@ -192,3 +202,34 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Incoming connections come first: kept ones make room for them, the longest unused first,
+    /// and are not given up for others that are wanted as much.
+    #[test]
+    fn kept_connections_make_room() {
+        let clients = WorkerClients::default();
+        let addr = |n: u8| SocketAddr::from(([10, 0, 0, n], 9000));
+        let at = |s: u64| Moment(Micros::from_secs(s).0);
+        let kept = |clients: &WorkerClients| {
+            let clients = clients.0.lock().unwrap();
+            let there = |n: &u8| clients.contains_key(&addr(*n));
+            (0..9).filter(there).collect::<Vec<u8>>()
+        };
+        for n in 1..5 {
+            clients.get(addr(n), at(n.into()), 4);
+        }
+        clients.get(addr(5), at(6), 4);
+        assert_eq!(kept(&clients), [1, 2, 3, 4]);
+        clients.get(addr(1), at(7), 4);
+        clients.get(addr(4), at(8), 2);
+        assert_eq!(kept(&clients), [1, 4]);
+        clients.get(addr(6), at(70), 2);
+        assert_eq!(kept(&clients), [6]);
+        clients.get(addr(6), at(71), 0);
+        assert_eq!(kept(&clients), [] as [u8; 0]);
+    }
+}
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -8,6 +8,7 @@
 use crate::jobs::JobId;
 use crate::placement::Room;
 use crate::time::{Micros, Moment};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use wire::{Order, Report, TaskStatus, Verb};
 
@@ -156,6 +157,9 @@
     pub exists_since: Option<Moment>,
     /// A direct call to it is under way.
     pub calling: bool,
+    /// What is free, and what will be, as last worked out: a pass looks at every machine, and few
+    /// changed since the one before. Whatever changes its attempts forgets it.
+    pub rooms: Cell<Option<(Room, Room)>>,
 }
 
 /// Orders for one machine that go straight to its address.
@@ -223,6 +227,7 @@
             last_listed: None,
             exists_since: None,
             calling: false,
+            rooms: Cell::new(None),
         }
     }
 
@@ -549,6 +554,7 @@
                 }
             }
         }
+        machine.rooms.set(None);
         if machine.busy() {
             machine.idle_since = None;
         } else {
@@ -562,6 +568,7 @@
             return;
         };
         machine.session_over = true;
+        machine.rooms.set(None);
         machine.ghosts.clear();
         for (key, attempt) in std::mem::take(&mut machine.attempts) {
             if attempt.holds()
@@ -611,6 +618,7 @@
                 leeway_s: (!ghost.exited).then_some(0.0),
             });
         }
+        machine.rooms.set(None);
         // Answers that may not arrive carry no starts.
         let in_doubt = machine.doubt.is_some();
         let here = (machine.session, machine.tick);
@@ -802,6 +810,7 @@
             .filter(|(_, a)| unsent(a))
             .map(|(k, _)| *k)
             .collect();
+        machine.rooms.set(None);
         for key in keys {
             machine.attempts.remove(&key);
             if let Some(job) = self.jobs.table.get_mut(&key.0) {
