--- a/src/cli.rs
+++ b/src/cli.rs
@@ -55,7 +55,8 @@
     #[arg(long, env = "ASPENREEL_PATIENCE_MS", default_value_t = 90_000,
           value_parser = clap::value_parser!(u64).range(1000..=86_400_000))]
     pub patience_ms: u64,
-    /// Room kept ready where objectives tell of waiting times, in percent of the CPUs in use
+    /// Room kept ready where objectives tell of waiting times shorter than a boot takes, in percent
+    /// of the CPUs in use
     #[arg(long, env = "ASPENREEL_RESERVE", default_value_t = 50,
           value_parser = clap::value_parser!(u64).range(0..=1000))]
     pub reserve: u64,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -123,6 +123,8 @@
 
 /// How long a refused kind of machine isn't asked for again.
 const NO_ROOM_PAUSE: Micros = Micros::from_secs(10);
+/// Most machines are up within this many times their boot time.
+const LATE_BOOT: f64 = 1.5;
 /// Tasks of one job that a plan looks at.
 const MAX_PLANNED: u32 = 300;
 const MAX_HIRE: u32 = 50;
@@ -317,12 +319,21 @@
         self.config.objectives.iter().any(|o| o.kind == "wait")
     }
 
+    /// True if the operator aims at starting work sooner than a machine can be had: then room is
+    /// kept ready. Aims that leave time for a boot are met by renting at once.
+    fn keeps_ready(&self) -> bool {
+        let boots = self.fleet.catalog.iter().map(|t| t.boot);
+        let soonest = boots.min().unwrap_or_default().scaled(LATE_BOOT);
+        let mut waits = self.config.objectives.iter().filter(|o| o.kind == "wait");
+        waits.any(|o| Micros::from_secs_f64(o.within_s) < soonest)
+    }
+
     /// CPUs free or on their way beyond the reserve that is wanted; negative if it falls short.
     ///
     /// Whoever aims at starting work within a time can't wait for a boot: some room is kept
     /// ready, as a share of what is in use. Where only deadlines count, none is.
     fn spare_cpu(&self) -> i64 {
-        if !self.aims_at_waits() {
+        if !self.keeps_ready() {
             return i64::MAX;
         }
         let (mut free, mut total) = (0, 0);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -6,6 +6,7 @@
 use aspenreel::fleet::HireResult;
 use aspenreel::jobs::rounds::{WriteKind, affordable};
 use aspenreel::jobs::spec::Rank;
+use aspenreel::settings::Objective;
 use aspenreel::workers::DirectResult;
 use insta::assert_snapshot;
 use std::collections::BTreeMap;
@@ -131,6 +132,29 @@
     assert_snapshot!(w.log);
 }
 
+/// Room is kept ready where work is to start sooner than a machine can be had; where the aims leave
+/// time for a boot, idle machines would cost money for nothing.
+#[test]
+fn room_is_kept_where_no_boot_fits_the_aim() {
+    let hires = |within_s: f64| {
+        let mut w = World::new(2, one_team());
+        w.cluster.config.reserve = 4.0;
+        w.cluster.config.objectives = vec![Objective {
+            kind: "wait".into(),
+            class: Some("train".into()),
+            within_s,
+        }];
+        w.check_in("big-east-1", &[]);
+        w.at(1.0).job(submission("run-1", |_| ()));
+        w.check_in("big-east-1", &[])
+            .list(&[("big-east-1", "running")]);
+        w.cluster.plan_rentals(at(2.0));
+        w.cluster.fleet.hires.len()
+    };
+    // The soonest machine boots in 20 s, and some take half as long again.
+    assert_eq!((hires(29.0), hires(31.0)), (1, 0));
+}
+
 /// A lagging list may still name machines that were taken before a takeover. That they existed long
 /// before is known from the roster and from how long they were held: the next two lists prove
 /// that they are gone, and earlier jobs don't wait for most of a lease.
