Moments reach back before a process's start: jobs and machines keep their age at a restart

A process counted time from one second before its own start, so whatever is older was taken to be as old as the process: existence on record proved nothing for twice the list's lag, and each restart made jobs young again, their deadlines, their place in the order and the wait that wins in the end.

Now moments reach a year back. Test: moments_before_the_start_of_the_process.

--- a/src/time.rs
+++ b/src/time.rs
@@ -76,6 +76,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WallTime(pub u64);
 
+/// How far back before a process's start its moments reach.
+const LONG_BEFORE: Micros = Micros::from_secs(365 * 24 * 3600);
+
 /// The clocks of one process.
 #[derive(Debug)]
 pub struct Clock {
@@ -91,9 +94,10 @@
 }
 
 impl Clock {
-    /// Starts at one second, so that "long before the start" can be expressed.
+    /// Starts late enough that what happened long before the process can be expressed: jobs and
+    /// machines are older than a controller that was just restarted, and keep their age.
     pub fn now(&self) -> Moment {
-        Moment(1_000_000 + self.origin.elapsed().as_micros() as u64)
+        Moment(LONG_BEFORE.0 + self.origin.elapsed().as_micros() as u64)
     }
 
     pub fn wall(&self) -> WallTime {
@@ -116,3 +120,19 @@
 pub fn at_least(span: Micros) -> Micros {
     span.scaled(1.0 - DRIFT)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A restarted controller reads of jobs and machines that are older than itself. Clamped to its
+    /// own start, jobs would wait their patience anew at each restart, and a machine's absence from
+    /// lists would prove nothing for a while.
+    #[test]
+    fn moments_before_the_start_of_the_process() {
+        let now = Clock::default().now();
+        let day = Micros::from_secs(24 * 3600);
+        let yesterday = Moment(now.0.saturating_sub(day.0));
+        assert_eq!(now - yesterday, day);
+    }
+}
