--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -438,9 +438,8 @@
     pub fn tick(&mut self, now: Moment) {
         self.expire_leases(now);
         let retry = self.jobs.table.values().any(retry_due(now));
-        if self.dirty || retry {
-            self.place(now);
-        }
+        self.dirty |= retry;
+        self.place_soon(now);
     }
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,7 +9,8 @@
 use crate::placement::Room;
 use crate::state_store::pages::Pages;
 use crate::time::{Micros, Moment};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use wire::ListedMachine;
 
 /// One machine type of the cloud's catalog.
@@ -108,6 +109,8 @@
     /// A list was read under this term: before, nobody knows what is rented already.
     pub listed: bool,
     pub last_list: Option<Moment>,
+    /// When rentals were last planned.
+    planned: Option<Moment>,
     /// Machines that may hold tasks. A machine is written down before its first one, as soon as
     /// it is known to exist, so that no start has to wait for it.
     pub roster: Pages<u64>,
@@ -122,6 +125,10 @@
 /// Tasks of one job that a plan looks at.
 const MAX_PLANNED: u32 = 300;
 const MAX_HIRE: u32 = 50;
+/// Machines that one plan asks for: ten requests. The next plan follows once these are answered.
+const MOST_WANTED: u32 = 10 * MAX_HIRE;
+/// Plans are at least this long apart for each machine: one looks at every task on every machine.
+const PLAN_SPACING: Micros = Micros(500);
 const MAX_RETURN: usize = 100;
 const GONE_KEPT: usize = 2000;
 
@@ -192,9 +199,12 @@
 impl Cluster {
     /// Adds the rentals that waiting work needs beyond what is there and on its way.
     pub fn plan_rentals(&mut self, now: Moment) {
-        if !self.fleet.listed || !self.fleet.hires.is_empty() {
+        let spacing = Micros(PLAN_SPACING.0 * self.machines.len() as u64);
+        let soon = self.fleet.planned.is_some_and(|t| now - t < spacing);
+        if !self.fleet.listed || !self.fleet.hires.is_empty() || soon {
             return;
         }
+        self.fleet.planned = Some(now);
         let mut wanted = self.wanted_offers(now);
         if wanted.is_empty()
             && let Some(offer) = self.reserve_offer(now)
@@ -223,6 +233,11 @@
     /// that would start too late there asks for a new machine.
     fn wanted_offers(&self, now: Moment) -> BTreeMap<Offer, u32> {
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        let offers = self.fleet.offers();
+        let refused = |o: &Offer| self.fleet.no_room.get(o).is_some_and(|t| *t > now);
+        if offers.iter().all(|(o, _)| refused(o)) {
+            return wanted;
+        }
         let order = self.order(now);
         if order.is_empty() {
             return wanted;
@@ -234,7 +249,6 @@
             .filter(|m| m.list_status != Some(ListStatus::Failed) && !self.deaf(m, now))
             .filter_map(|m| self.bin_of(m, now))
             .collect();
-        let offers = self.fleet.offers();
         let eager = self.aims_at_waits();
         let mut team_room = self.team_room();
         for (_, id) in order {
@@ -246,45 +260,54 @@
             let run = self.expected_run(job);
             // Whoever aims at starting times wants every start as soon as a machine can be had.
             let latest = if eager { now } else { self.latest_start(job) };
+            // By when a task could start there: only the bin that takes one changes.
+            let earliest = |bins: &[Bin], i: usize| {
+                let bin = &bins[i];
+                let t = &self.fleet.catalog[bin.type_index];
+                let allowed = need.fits(t.room) && job.spec.allows(&t.name, &bin.zone, bin.spot);
+                let start = if allowed {
+                    bin.earliest(need)?
+                } else {
+                    return None;
+                };
+                Some(Reverse((start.max(now), i)))
+            };
+            let mut starts: BinaryHeap<Reverse<(Moment, usize)>> =
+                (0..bins.len()).filter_map(|i| earliest(&bins, i)).collect();
             for _ in 0..job.ready().min(MAX_PLANNED) {
                 if !need.fits(team_room[team]) {
                     break;
                 }
                 team_room[team] = team_room[team].minus(need);
-                let best = bins
-                    .iter()
-                    .enumerate()
-                    .filter(|(_, b)| {
-                        let t = &self.fleet.catalog[b.type_index];
-                        need.fits(t.room) && job.spec.allows(&t.name, &b.zone, b.spot)
-                    })
-                    .filter_map(|(i, b)| Some((b.earliest(need)?.max(now), i)))
-                    .min();
-                if let Some((start, i)) = best
-                    && start <= latest
-                {
-                    bins[i].take(start, need, run);
-                    continue;
-                }
-                let existing = best.map(|(start, _)| start);
-                let offer = self.choose_offer(job, &offers, existing, now);
-                match (offer, best) {
+                let best = starts.peek().map(|Reverse(best)| *best);
+                let offer = match best {
+                    Some((start, _)) if start <= latest => None,
+                    _ => self.choose_offer(job, &offers, best.map(|(start, _)| start), now),
+                };
+                let (start, at) = match (offer, best) {
                     (Some(offer), _) => {
                         *wanted.entry(offer.clone()).or_insert(0) += 1;
                         let t = &self.fleet.catalog[offer.type_index];
                         let up = now + t.boot;
-                        let mut bin = Bin {
+                        bins.push(Bin {
                             type_index: offer.type_index,
-                            zone: offer.zone.clone(),
+                            zone: offer.zone,
                             spot: offer.spot,
                             releases: vec![(up, t.room)],
-                        };
-                        bin.take(up, need, run);
-                        bins.push(bin);
+                        });
+                        (up, bins.len() - 1)
+                    }
+                    (None, Some((start, at))) => {
+                        starts.pop();
+                        (start, at)
                     }
-                    (None, Some((start, i))) => bins[i].take(start, need, run),
                     (None, None) => break,
-                }
+                };
+                bins[at].take(start, need, run);
+                starts.extend(earliest(&bins, at));
+            }
+            if wanted.values().sum::<u32>() >= MOST_WANTED {
+                break;
             }
         }
         wanted
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,14 +1,26 @@
-//! The server: one small thread a connection, under a cap, with bounded time and memory each.
+//! The server: few threads, whatever the number of connections.
+//!
+//! A fleet keeps a connection a worker, and hundreds of users theirs; a thread for each would be
+//! beyond what a process may have. So connections are parked and waited for together. One thread
+//! reads what arrives and answers what needs no wait; requests that may wait for the network go
+//! to a pool that grows by need up to a bound. A slow or silent client holds its connection, for a
+//! bounded time, and no thread.
 
 use super::{MAX_BODY, MAX_HEAD};
 use crate::time::{Clock, Moment};
+use rustix::event::Timespec;
+use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
+use rustix::io::Errno;
+use std::collections::{HashMap, VecDeque};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
+use std::os::fd::OwnedFd;
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-/// Stack of a connection's thread; only touched pages count.
+/// Stack of a thread that answers requests; only touched pages count.
 pub const STACK: usize = 256 * 1024;
 /// A request must be complete this long after its first byte.
 const REQUEST_TIME: Duration = Duration::from_secs(5);
@@ -17,7 +29,19 @@
 /// While most of the connections are taken, idle ones go sooner, before new ones are refused.
 /// Longer than workers and users are silent in between.
 const SCARCE_IDLE_TIME: Duration = Duration::from_secs(10);
+/// How often connections are looked through for what has run out of time.
+const SWEEP: Duration = Duration::from_millis(500);
+/// A pool thread without work ends after this long.
+const THREAD_IDLE: Duration = Duration::from_secs(20);
+/// Requests that may wait for a pool thread, for each thread there may be. Beyond that they are
+/// told to come back.
+const QUEUED_PER_THREAD: usize = 4;
+/// What one turn takes from a connection.
+const CHUNK: usize = 16 * 1024;
 const MAX_HEADERS: usize = 48;
+/// Connections taken in one turn, so that a storm of them doesn't keep out the open ones.
+const ACCEPTS_A_TURN: usize = 64;
+const LISTENER: u64 = 0;
 
 #[derive(Debug)]
 pub struct Request {
@@ -56,9 +80,24 @@
 
 /// What answers requests.
 pub trait Handler: Send + Sync + 'static {
+    /// Answers what needs no wait for the network; hands back what may need one.
+    fn at_once(&self, request: Request) -> Result<Response, Request> {
+        Err(request)
+    }
+    /// Answers what was handed back, on a thread that may wait.
     fn handle(&self, request: Request) -> Response;
 }
 
+/// How much a server takes on at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    pub connections: usize,
+    /// Threads that wait for the network in place of requests.
+    pub threads: usize,
+    /// Bytes of unfinished requests and of answers that are not taken yet.
+    pub buffered: usize,
+}
+
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
@@ -76,76 +115,303 @@
     }
 }
 
-/// Accepts for ever. Connections beyond `cap` are told to come back, in bounded time.
-pub fn serve(listener: TcpListener, handler: Arc<dyn Handler>, clock: Arc<Clock>, cap: usize) {
-    let open = Arc::new(AtomicUsize::new(0));
+/// What is under way on a connection.
+#[derive(Default)]
+struct State {
+    /// Read and not yet answered.
+    buf: Vec<u8>,
+    /// Answered and not yet taken by the client.
+    out: Vec<u8>,
+    close: bool,
+    /// The poll set waits for room to write instead of for requests.
+    awaits_out: bool,
+    /// When the last request was answered, or the connection was made.
+    idle_since: Option<Instant>,
+    /// When the first byte of an unfinished request came, or of an answer left.
+    begun: Option<Instant>,
+}
+
+struct Slot {
+    stream: Arc<TcpStream>,
+    /// None while a thread works on it.
+    state: Option<State>,
+    /// Out of the poll set: something came while a thread worked on it.
+    muted: bool,
+}
+
+/// One connection, in the hands of the thread that works on it.
+struct Held {
+    key: u64,
+    stream: Arc<TcpStream>,
+    state: State,
+}
+
+#[derive(Default)]
+struct Pool {
+    queue: VecDeque<(Held, Request, bool)>,
+    threads: usize,
+    idle: usize,
+}
+
+struct Server {
+    epoll: OwnedFd,
+    handler: Arc<dyn Handler>,
+    clock: Arc<Clock>,
+    limits: Limits,
+    slots: Mutex<HashMap<u64, Slot>>,
+    pool: Mutex<Pool>,
+    work: Condvar,
+    open: Arc<AtomicUsize>,
+    buffered: AtomicUsize,
+}
+
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// A mistake in the code for one request must not end the thread that all connections share.
+fn guarded(answer: impl FnOnce() -> Result<Response, Request>) -> Result<Response, Request> {
+    std::panic::catch_unwind(AssertUnwindSafe(answer)).unwrap_or_else(|_| Ok(Response::busy(1)))
+}
+
+/// Serves for ever. Connections beyond the limit are told to come back, in bounded time. `open`
+/// counts them, for whoever shares the process's sockets.
+pub fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    clock: Arc<Clock>,
+    limits: Limits,
+    open: Arc<AtomicUsize>,
+) -> std::io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let server = Arc::new(Server {
+        epoll: epoll::create(CreateFlags::CLOEXEC)?,
+        handler,
+        clock,
+        limits,
+        slots: Mutex::default(),
+        pool: Mutex::default(),
+        work: Condvar::new(),
+        open,
+        buffered: AtomicUsize::new(0),
+    });
+    let data = EventData::new_u64(LISTENER);
+    epoll::add(&server.epoll, &listener, data, EventFlags::IN)?;
+    let mut next = LISTENER;
+    let mut events = Vec::with_capacity(256);
+    let mut swept = Instant::now();
+    let turn = Timespec {
+        tv_sec: 0,
+        tv_nsec: i64::from(SWEEP.subsec_nanos()),
+    };
     loop {
-        let stream = match listener.accept() {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                // Out of sockets, mostly: waiting lets others close theirs.
-                log::info!("accept failed: {e}");
-                std::thread::sleep(Duration::from_millis(50));
+        events.clear();
+        let ready = rustix::buffer::spare_capacity(&mut events);
+        match epoll::wait(&server.epoll, ready, Some(&turn)) {
+            Ok(_) | Err(Errno::INTR) => {}
+            Err(e) => return Err(e.into()),
+        }
+        for event in events.drain(..) {
+            match event.data.u64() {
+                LISTENER => server.accept(&listener, &mut next),
+                key => server.ready(key),
+            }
+        }
+        if swept.elapsed() >= SWEEP {
+            swept = Instant::now();
+            server.sweep(swept);
+        }
+    }
+}
+
+impl Server {
+    fn accept(&self, listener: &TcpListener, next: &mut u64) {
+        for _ in 0..ACCEPTS_A_TURN {
+            let mut stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    // Out of sockets, mostly: waiting lets others close theirs.
+                    log::info!("accept failed: {e}");
+                    std::thread::sleep(Duration::from_millis(20));
+                    return;
+                }
+            };
+            let _ = stream.set_nonblocking(true);
+            if self.open.load(Ordering::Relaxed) >= self.limits.connections {
+                let _ = stream.write_all(
+                    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+                );
                 continue;
             }
+            let _ = stream.set_nodelay(true);
+            *next += 1;
+            self.open.fetch_add(1, Ordering::Relaxed);
+            let slot = Slot {
+                stream: Arc::new(stream),
+                state: Some(State {
+                    idle_since: Some(Instant::now()),
+                    ..State::default()
+                }),
+                muted: true,
+            };
+            let mut slots = lock(&self.slots);
+            let slot = slots.entry(*next).or_insert(slot);
+            if !self.listen(*next, slot, EventFlags::IN) {
+                slots.remove(next);
+                self.open.fetch_sub(1, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Has the poll set wait for this; false if it can't.
+    fn listen(&self, key: u64, slot: &mut Slot, flags: EventFlags) -> bool {
+        let data = EventData::new_u64(key);
+        let result = if slot.muted {
+            epoll::add(&self.epoll, &*slot.stream, data, flags)
+        } else {
+            epoll::modify(&self.epoll, &*slot.stream, data, flags)
         };
-        if open.fetch_add(1, Ordering::Relaxed) >= cap {
-            open.fetch_sub(1, Ordering::Relaxed);
-            let mut stream = stream;
-            let _ = stream.set_nonblocking(true);
-            let _ = stream.write_all(
-                b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-            );
-            continue;
+        slot.muted = false;
+        if let Err(e) = result {
+            log::info!("a connection can't be waited for: {e}");
+            return false;
         }
-        let (handler, clock, count) = (handler.clone(), clock.clone(), open.clone());
-        let spawned = std::thread::Builder::new()
-            .stack_size(STACK)
-            .spawn(move || {
-                struct Leave(Arc<AtomicUsize>);
-                impl Drop for Leave {
-                    fn drop(&mut self) {
-                        self.0.fetch_sub(1, Ordering::Relaxed);
+        true
+    }
+
+    /// Something came on a connection, or its end, or room for the rest of an answer.
+    fn ready(self: &Arc<Self>, key: u64) {
+        let mut slots = lock(&self.slots);
+        let Some(slot) = slots.get_mut(&key) else {
+            return;
+        };
+        let Some(state) = slot.state.take() else {
+            // Nobody pipelines; whoever does all the same, or leaves, waits for the answer.
+            if !slot.muted {
+                slot.muted = true;
+                let _ = epoll::delete(&self.epoll, &*slot.stream);
+            }
+            return;
+        };
+        let stream = slot.stream.clone();
+        drop(slots);
+        let held = state.buf.len() + state.out.len();
+        self.buffered.fetch_sub(held, Ordering::Relaxed);
+        let held = Held { key, stream, state };
+        if held.state.out.is_empty() {
+            self.read(held);
+        } else {
+            self.write(held);
+        }
+    }
+
+    fn close(&self, held: &Held) {
+        if lock(&self.slots).remove(&held.key).is_some() {
+            self.open.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Gives a connection back to the poll set.
+    fn park(&self, held: Held) {
+        let Held { key, mut state, .. } = held;
+        let size = state.buf.len() + state.out.len();
+        if size == 0 {
+            // Thousands are parked: an empty one keeps no memory.
+            (state.buf, state.out) = (Vec::new(), Vec::new());
+            state.begun = None;
+        } else {
+            state.begun.get_or_insert_with(Instant::now);
+        }
+        let buffered = self.buffered.fetch_add(size, Ordering::Relaxed) + size;
+        let mut slots = lock(&self.slots);
+        let Some(slot) = slots.get_mut(&key) else {
+            return;
+        };
+        let flags = if state.out.is_empty() {
+            EventFlags::IN
+        } else {
+            EventFlags::OUT
+        };
+        let changed = slot.muted || !state.out.is_empty() || state.awaits_out;
+        state.awaits_out = !state.out.is_empty();
+        slot.state = Some(state);
+        let fits = size == 0 || buffered <= self.limits.buffered;
+        if !fits || (changed && !self.listen(key, slot, flags)) {
+            slots.remove(&key);
+            self.buffered.fetch_sub(size, Ordering::Relaxed);
+            self.open.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    fn read(self: &Arc<Self>, mut held: Held) {
+        let mut chunk = [0u8; CHUNK];
+        match (&*held.stream).read(&mut chunk) {
+            Ok(0) => self.close(&held),
+            Ok(n) => {
+                held.state.buf.extend_from_slice(&chunk[..n]);
+                self.proceed(held);
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+                self.park(held);
+            }
+            Err(_) => self.close(&held),
+        }
+    }
+
+    /// Answers the requests that are complete, one after the other.
+    fn proceed(self: &Arc<Self>, mut held: Held) {
+        loop {
+            let (response, close) = match next_request(&mut held.state.buf) {
+                Parsed::Partial => return self.park(held),
+                Parsed::Refuse(status) => (Response::new(status, Vec::new()), true),
+                Parsed::Request { request, close } => {
+                    match guarded(|| self.handler.at_once(request)) {
+                        Ok(response) => (response, close),
+                        Err(request) => match self.hand_over(held, request, close) {
+                            None => return,
+                            Some(back) => {
+                                held = back;
+                                (Response::busy(1), close)
+                            }
+                        },
                     }
                 }
-                let scarce = {
-                    let count = count.clone();
-                    move || count.load(Ordering::Relaxed) * 4 > cap * 3
-                };
-                let _leave = Leave(count);
-                connection(stream, handler.as_ref(), &clock, &scarce);
-            });
-        if let Err(e) = spawned {
-            open.fetch_sub(1, Ordering::Relaxed);
-            log::info!("no thread for a connection: {e}");
+            };
+            match self.answer(held, response, close) {
+                Some(next) => held = next,
+                None => return,
+            }
         }
     }
-}
 
-enum Read1 {
-    Request { request: Request, close: bool },
-    Refuse(u16),
-    Gone,
-}
+    /// Gives a request to the pool; gives the connection back if there is no room for it.
+    fn hand_over(self: &Arc<Self>, held: Held, request: Request, close: bool) -> Option<Held> {
+        let mut pool = lock(&self.pool);
+        if pool.queue.len() >= self.limits.threads * QUEUED_PER_THREAD {
+            return Some(held);
+        }
+        if pool.queue.len() >= pool.idle && pool.threads < self.limits.threads {
+            let server = self.clone();
+            let thread = std::thread::Builder::new().stack_size(STACK);
+            match thread.spawn(move || server.pool_thread()) {
+                Ok(_) => pool.threads += 1,
+                Err(e) => log::info!("no thread for a request: {e}"),
+            }
+        }
+        if pool.threads == 0 {
+            return Some(held);
+        }
+        pool.queue.push_back((held, request, close));
+        drop(pool);
+        self.work.notify_one();
+        None
+    }
 
-fn connection(
-    mut stream: TcpStream,
-    handler: &dyn Handler,
-    clock: &Clock,
-    scarce: &dyn Fn() -> bool,
-) {
-    let _ = stream.set_nodelay(true);
-    let _ = stream.set_read_timeout(Some(REQUEST_TIME));
-    let _ = stream.set_write_timeout(Some(REQUEST_TIME));
-    let mut buf = Vec::new();
-    loop {
-        let (response, close) = match read_request(&mut stream, &mut buf, scarce) {
-            Read1::Request { request, close } => (handler.handle(request), close),
-            Read1::Refuse(status) => (Response::new(status, Vec::new()), true),
-            Read1::Gone => return,
-        };
+    /// Writes an answer; gives the connection back if all of it left.
+    fn answer(&self, mut held: Held, response: Response, close: bool) -> Option<Held> {
         let response = match response.valid_until {
-            Some(until) if clock.now() >= until => Response::busy(1),
+            Some(until) if self.clock.now() >= until => Response::busy(1),
             _ => response,
         };
         let retry = match response.retry_after_s {
@@ -162,101 +428,149 @@
         )
         .into_bytes();
         out.extend_from_slice(&response.body);
-        if stream.write_all(&out).is_err() || close {
-            return;
-        }
+        held.state.out = out;
+        held.state.close = close;
+        held.state.begun = None;
+        self.send(held)
     }
-}
 
-fn idle(scarce: bool) -> Duration {
-    if scarce { SCARCE_IDLE_TIME } else { IDLE_TIME }
-}
-
-fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>, scarce: &dyn Fn() -> bool) -> Read1 {
-    let waiting_since = Instant::now();
-    let mut begun: Option<Instant> = (!buf.is_empty()).then(Instant::now);
-    let mut chunk = [0u8; 4096];
-    loop {
-        if !buf.is_empty() {
-            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-            let mut head = httparse::Request::new(&mut headers);
-            match head.parse(buf) {
-                Ok(httparse::Status::Complete(start)) => {
-                    let (method, path) = (
-                        head.method.unwrap_or("").to_string(),
-                        head.path.unwrap_or("").to_string(),
-                    );
-                    let mut length = None;
-                    let mut close = head.version == Some(0);
-                    for h in head.headers.iter() {
-                        if h.name.eq_ignore_ascii_case("content-length") {
-                            let n = std::str::from_utf8(h.value)
-                                .ok()
-                                .and_then(|v| v.trim().parse::<usize>().ok());
-                            match n {
-                                Some(n) if length.is_none_or(|l| l == n) => length = Some(n),
-                                _ => return Read1::Refuse(400),
-                            }
-                        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
-                            return Read1::Refuse(411);
-                        } else if h.name.eq_ignore_ascii_case("connection") {
-                            close |= h.value.eq_ignore_ascii_case(b"close");
-                        }
-                    }
-                    let length = length.unwrap_or(0);
-                    if length > MAX_BODY {
-                        return Read1::Refuse(413);
-                    }
-                    while buf.len() < start + length {
-                        match more(stream, buf, &mut chunk, begun) {
-                            Some(true) => {}
-                            _ => return Read1::Gone,
-                        }
-                    }
-                    let body = buf[start..start + length].to_vec();
-                    buf.drain(..start + length);
-                    if buf.is_empty() && buf.capacity() > 16 * 1024 {
-                        *buf = Vec::new();
-                    }
-                    let request = Request { method, path, body };
-                    return Read1::Request { request, close };
+    /// Writes as much as goes at once; gives the connection back if that was all.
+    fn send(&self, mut held: Held) -> Option<Held> {
+        let mut sent = 0;
+        while sent < held.state.out.len() {
+            match (&*held.stream).write(&held.state.out[sent..]) {
+                Ok(n) if n > 0 => sent += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    held.state.out.drain(..sent);
+                    self.park(held);
+                    return None;
                 }
-                Ok(httparse::Status::Partial) if buf.len() > MAX_HEAD => {
-                    return Read1::Refuse(431);
+                _ => {
+                    self.close(&held);
+                    return None;
                 }
-                Ok(httparse::Status::Partial) => {}
-                Err(httparse::Error::TooManyHeaders) => return Read1::Refuse(431),
-                Err(_) => return Read1::Refuse(400),
             }
         }
-        match more(stream, buf, &mut chunk, begun) {
-            Some(true) => {
-                begun.get_or_insert_with(Instant::now);
+        held.state.out = Vec::new();
+        held.state.begun = None;
+        held.state.idle_since = Some(Instant::now());
+        if held.state.close {
+            self.close(&held);
+            return None;
+        }
+        Some(held)
+    }
+
+    /// Room for the rest of an answer.
+    fn write(self: &Arc<Self>, held: Held) {
+        if let Some(held) = self.send(held) {
+            self.proceed(held);
+        }
+    }
+
+    /// Closes what has run out of time.
+    fn sweep(&self, now: Instant) {
+        let scarce = self.open.load(Ordering::Relaxed) * 4 > self.limits.connections * 3;
+        let idle = if scarce { SCARCE_IDLE_TIME } else { IDLE_TIME };
+        let mut slots = lock(&self.slots);
+        let before = slots.len();
+        slots.retain(|_, slot| {
+            let Some(state) = &slot.state else {
+                return true;
+            };
+            let stays = match (state.begun, state.idle_since) {
+                (Some(begun), _) => now - begun < REQUEST_TIME,
+                (None, Some(since)) => now - since < idle,
+                (None, None) => false,
+            };
+            if !stays {
+                let size = state.buf.len() + state.out.len();
+                self.buffered.fetch_sub(size, Ordering::Relaxed);
+            }
+            stays
+        });
+        self.open.fetch_sub(before - slots.len(), Ordering::Relaxed);
+    }
+
+    /// One thread of the pool, until it had nothing to do for a while.
+    fn pool_thread(self: &Arc<Self>) {
+        let mut pool = lock(&self.pool);
+        loop {
+            if let Some((held, request, close)) = pool.queue.pop_front() {
+                drop(pool);
+                let response = guarded(|| Ok(self.handler.handle(request)));
+                let response = response.unwrap_or_else(|_: Request| Response::busy(1));
+                if let Some(held) = self.answer(held, response, close) {
+                    self.proceed(held);
+                }
+                pool = lock(&self.pool);
+                continue;
+            }
+            pool.idle += 1;
+            let (back, waited) = self
+                .work
+                .wait_timeout(pool, THREAD_IDLE)
+                .unwrap_or_else(|e| e.into_inner());
+            pool = back;
+            pool.idle -= 1;
+            if waited.timed_out() && pool.queue.is_empty() {
+                pool.threads -= 1;
+                return;
             }
-            Some(false) if begun.is_none() && waiting_since.elapsed() < idle(scarce()) => {}
-            _ => return Read1::Gone,
         }
     }
 }
 
-/// Some(true): more bytes; Some(false): nothing for a while; None: over.
-fn more(
-    stream: &mut TcpStream,
-    buf: &mut Vec<u8>,
-    chunk: &mut [u8],
-    begun: Option<Instant>,
-) -> Option<bool> {
-    if begun.is_some_and(|b| b.elapsed() >= REQUEST_TIME) {
-        return None;
+enum Parsed {
+    Request { request: Request, close: bool },
+    Refuse(u16),
+    Partial,
+}
+
+/// Takes the next request from what was read, if it is complete.
+fn next_request(buf: &mut Vec<u8>) -> Parsed {
+    if buf.is_empty() {
+        return Parsed::Partial;
     }
-    match stream.read(chunk) {
-        Ok(0) => None,
-        Ok(n) => {
-            buf.extend_from_slice(&chunk[..n]);
-            Some(true)
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let start = match head.parse(buf) {
+        Ok(httparse::Status::Complete(start)) => start,
+        Ok(httparse::Status::Partial) if buf.len() > MAX_HEAD => return Parsed::Refuse(431),
+        Ok(httparse::Status::Partial) => return Parsed::Partial,
+        Err(httparse::Error::TooManyHeaders) => return Parsed::Refuse(431),
+        Err(_) => return Parsed::Refuse(400),
+    };
+    let mut length = None;
+    let mut close = head.version == Some(0);
+    for h in head.headers.iter() {
+        if h.name.eq_ignore_ascii_case("content-length") {
+            let n = std::str::from_utf8(h.value)
+                .ok()
+                .and_then(|v| v.trim().parse::<usize>().ok());
+            match n {
+                Some(n) if length.is_none_or(|l| l == n) => length = Some(n),
+                _ => return Parsed::Refuse(400),
+            }
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+            return Parsed::Refuse(411);
+        } else if h.name.eq_ignore_ascii_case("connection") {
+            close |= h.value.eq_ignore_ascii_case(b"close");
         }
-        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => Some(false),
-        Err(e) if e.kind() == ErrorKind::Interrupted => Some(true),
-        Err(_) => None,
     }
+    let length = length.unwrap_or(0);
+    if length > MAX_BODY {
+        return Parsed::Refuse(413);
+    }
+    if buf.len() < start + length {
+        return Parsed::Partial;
+    }
+    let request = Request {
+        method: head.method.unwrap_or("").to_string(),
+        path: head.path.unwrap_or("").to_string(),
+        body: buf[start..start + length].to_vec(),
+    };
+    buf.drain(..start + length);
+    Parsed::Request { request, close }
 }
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -7,8 +7,9 @@
 use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest};
 use crate::node::Node;
 use crate::state_store::{Change, Commit, Guard, StoreError, Urgency, from_value, to_value};
-use crate::time::{Micros, Moment};
+use crate::time::Micros;
 use serde::{Deserialize, Serialize};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// What could be found out about a job.
@@ -52,6 +53,18 @@
     )
 }
 
+fn told(id: &str, view: JobView) -> Response {
+    Response::new(
+        200,
+        encode(&Answer {
+            id,
+            status: view.state.name(),
+            done: Some(view.done),
+            running: Some(view.running),
+        }),
+    )
+}
+
 #[derive(Serialize)]
 struct Problem {
     error: String,
@@ -65,6 +78,7 @@
 const RETRY_S: u32 = 1;
 const PEER_TIME: Duration = Duration::from_millis(500);
 const PING_TIME: Duration = Duration::from_millis(150);
+const COMPANY_EVERY: Duration = Duration::from_secs(1);
 /// Without a word of the state service for this long, a node looks for company.
 const ALONE: Micros = Micros::from_secs(6);
 /// Users wait two seconds for a status: what can't be found out by then is said to be unknown.
@@ -83,24 +97,23 @@
         if self.catalog().is_none() {
             return Response::busy(RETRY_S);
         }
-        let now = self.now();
-        if now - self.store.last_answer() < ALONE || self.has_company(now) {
-            Response::new(200, Vec::new())
-        } else {
+        if self.alone.load(Ordering::Relaxed) {
             Response::busy(RETRY_S)
+        } else {
+            Response::new(200, Vec::new())
         }
     }
 
-    /// Whether any peer answers; asked at most once a second.
-    fn has_company(&self, now: Moment) -> bool {
-        let (asked, found) = self.core().company;
-        if now - asked < Micros::from_secs(1) {
-            return found;
+    /// Looks for company while the state service says nothing, so that a health check never has
+    /// to wait for it.
+    pub fn company_loop(&self) {
+        loop {
+            std::thread::sleep(COMPANY_EVERY);
+            let heard = |node: &Node| node.now() - node.store.last_answer() < ALONE;
+            let answers = |p: &PeerClient| p.call(&PeerRequest::Ping, PING_TIME).is_ok();
+            let company = heard(self) || self.peers.is_empty() || self.peers.values().any(answers);
+            self.alone.store(!company, Ordering::Relaxed);
         }
-        let answers = |p: &PeerClient| p.call(&PeerRequest::Ping, PING_TIME).is_ok();
-        let found = self.peers.is_empty() || self.peers.values().any(answers);
-        self.core().company = (self.now(), found);
-        found
     }
 
     pub fn submit(&self, body: &[u8]) -> Response {
@@ -242,20 +255,17 @@
         }
     }
 
-    pub fn status(&self, id: &str) -> Response {
+    /// The answer to a status question, if this node knows it by itself.
+    pub fn known_status(&self, id: &str) -> Option<Response> {
         if !is_ref(id) {
-            return Response::new(404, Vec::new());
+            return Some(Response::new(404, Vec::new()));
         }
+        self.view_here(id).map(|view| told(id, view))
+    }
+
+    pub fn status(&self, id: &str) -> Response {
         match self.lookup(id) {
-            Lookup::Job(view) => Response::new(
-                200,
-                encode(&Answer {
-                    id,
-                    status: view.state.name(),
-                    done: Some(view.done),
-                    running: Some(view.running),
-                }),
-            ),
+            Lookup::Job(view) => told(id, view),
             Lookup::Absent => Response::new(404, Vec::new()),
             Lookup::Undecided => Response::busy(RETRY_S),
         }
--- a/src/leadership/peer.rs
+++ b/src/leadership/peer.rs
@@ -9,9 +9,6 @@
 use std::time::{Duration, Instant};
 
 const MAX_FRAME: u32 = 64 * 1024;
-/// Connections that are taken from each peer.
-const CONNECTIONS_A_PEER: usize = 24;
-
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum PeerRequest {
     /// What the leader knows of a job.
@@ -112,13 +109,12 @@
     }
 }
 
-/// Answers peers for ever.
+/// Answers peers for ever, on at most so many connections.
 pub fn serve_peers(
     listener: TcpListener,
-    peers: usize,
+    most: usize,
     answer: Arc<dyn Fn(PeerRequest) -> PeerReply + Send + Sync>,
 ) {
-    let most = CONNECTIONS_A_PEER * peers.max(1);
     let open = Arc::new(AtomicUsize::new(0));
     loop {
         let Ok((mut stream, _)) = listener.accept() else {
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,7 +4,7 @@
 use crate::cluster::{Cluster, ClusterConfig};
 use crate::fleet::MachineType;
 use crate::http::client::Client;
-use crate::http::server::{Handler, Request, Response, serve};
+use crate::http::server::{Handler, Limits, Request, Response, serve};
 use crate::jobs::JobView;
 use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest, serve_peers};
 use crate::leadership::{Lead, LeaderRecord};
@@ -15,11 +15,9 @@
 use crate::workers::edge::WorkerClients;
 use std::collections::{HashMap, VecDeque};
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 
-/// Threads that send orders straight to workers; each waits for one worker at a time.
-const DIRECT_THREADS: usize = 6;
-
 const SUMMARY_EVERY: Micros = Micros::from_secs(10);
 
 /// How long a node that stood down for want of workers lets others go first. If nobody does, it
@@ -62,8 +60,6 @@
     pub known_leader: Option<LeaderRecord>,
     /// When the state service last vouched for it.
     pub leader_seen: Moment,
-    /// When peers were last asked whether any is there, and whether one was.
-    pub company: (Moment, bool),
     pub finals: Finals,
     /// The lead is to be given up.
     pub step_down: bool,
@@ -103,6 +99,10 @@
     pub submit_tokens: Mutex<TokenBucket>,
     pub cloud_tokens: Mutex<TokenBucket>,
     pub catalog: Mutex<Option<Arc<Vec<MachineType>>>>,
+    /// Connections of users and workers that are open.
+    pub open: Arc<AtomicUsize>,
+    /// Neither the state service nor any peer answers.
+    pub alone: AtomicBool,
 }
 
 impl Node {
@@ -134,6 +134,8 @@
             submit_tokens: Mutex::new(TokenBucket::new(submit, submit.max(4.0), now)),
             cloud_tokens: Mutex::new(TokenBucket::new(site.cloud.rps * 0.9, site.cloud.rps, now)),
             catalog: Mutex::new(None),
+            open: Arc::default(),
+            alone: AtomicBool::new(false),
             clock,
             settings,
             options,
@@ -200,22 +202,26 @@
         spawn("fleet", Box::new(move || node.fleet_loop()))?;
         let node = self.clone();
         spawn("tick", Box::new(move || node.tick_loop()))?;
-        for _ in 0..DIRECT_THREADS {
+        let node = self.clone();
+        spawn("company", Box::new(move || node.company_loop()))?;
+        let quota = self.settings.settings.quota.clone();
+        for _ in 0..quota.direct_threads() {
             let node = self.clone();
             spawn("direct", Box::new(move || node.direct_loop()))?;
         }
         let node = self.clone();
+        let most = quota.peer_connections();
         spawn(
             "peers",
-            Box::new(move || {
-                let members = node.settings.members.len();
-                serve_peers(peers, members, Arc::new(move |r| node.answer_peer(r)));
-            }),
+            Box::new(move || serve_peers(peers, most, Arc::new(move |r| node.answer_peer(r)))),
         )?;
-        let cap = self.settings.settings.quota.connections();
-        let clock = self.clock.clone();
-        serve(public, self, clock, cap);
-        Ok(())
+        let limits = Limits {
+            connections: quota.connections(),
+            threads: quota.pool_threads(),
+            buffered: quota.buffered(),
+        };
+        let (clock, open) = (self.clock.clone(), self.open.clone());
+        serve(public, self, clock, limits, open)
     }
 
     fn tick_loop(&self) {
@@ -271,29 +277,57 @@
     }
 }
 
+/// What a request asks for.
+enum Route<'a> {
+    CheckIn,
+    Up,
+    Submit,
+    Status(&'a str),
+    Withdraw(&'a str),
+    Refused(u16),
+}
+
+fn route(request: &Request) -> Route<'_> {
+    let path = request.path.split('?').next().unwrap_or("");
+    let (wanted, route) = match path {
+        "/checkin" => ("POST", Route::CheckIn),
+        "/up" => ("GET", Route::Up),
+        "/work" => ("POST", Route::Submit),
+        _ => match path.strip_prefix("/work/").map(|rest| rest.split_once('/')) {
+            Some(None) => ("GET", Route::Status(&path["/work/".len()..])),
+            Some(Some((id, "withdraw"))) => ("POST", Route::Withdraw(id)),
+            _ => return Route::Refused(404),
+        },
+    };
+    if request.method == wanted {
+        route
+    } else {
+        Route::Refused(405)
+    }
+}
+
 impl Handler for Node {
-    fn handle(&self, request: Request) -> Response {
-        let path = request.path.split('?').next().unwrap_or("");
-        let method = request.method.as_str();
-        let only = |wanted: &str, answer: &dyn Fn() -> Response| {
-            if method == wanted {
-                answer()
-            } else {
-                Response::new(405, Vec::new())
-            }
+    /// Workers and health checks never wait for what users ask; a status that this node knows is
+    /// told at once.
+    fn at_once(&self, request: Request) -> Result<Response, Request> {
+        let response = match route(&request) {
+            Route::CheckIn => Some(self.check_in(&request.body)),
+            Route::Up => Some(self.up()),
+            Route::Status(id) => self.known_status(id),
+            Route::Refused(status) => Some(Response::new(status, Vec::new())),
+            Route::Submit | Route::Withdraw(_) => None,
         };
-        match path {
-            "/checkin" => only("POST", &|| self.check_in(&request.body)),
-            "/up" => only("GET", &|| self.up()),
-            "/work" => only("POST", &|| self.submit(&request.body)),
-            _ => match path.strip_prefix("/work/") {
-                Some(rest) => match rest.split_once('/') {
-                    None => only("GET", &|| self.status(rest)),
-                    Some((id, "withdraw")) => only("POST", &|| self.withdraw(id)),
-                    Some(_) => Response::new(404, Vec::new()),
-                },
-                None => Response::new(404, Vec::new()),
-            },
+        response.ok_or(request)
+    }
+
+    fn handle(&self, request: Request) -> Response {
+        match route(&request) {
+            Route::Submit => self.submit(&request.body),
+            Route::Status(id) => self.status(id),
+            Route::Withdraw(id) => self.withdraw(id),
+            Route::CheckIn => self.check_in(&request.body),
+            Route::Up => self.up(),
+            Route::Refused(status) => Response::new(status, Vec::new()),
         }
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -168,6 +168,8 @@
     victims: Option<Vec<Victim>>,
     /// What teams use beyond their guarantees.
     over: Vec<i64>,
+    /// The lowest rank of which anything holds a place.
+    lowest: Option<Rank>,
 }
 
 impl Cluster {
@@ -343,6 +345,13 @@
             barren: Vec::new(),
             team_room: self.team_room_beside(&used),
             victims: None,
+            lowest: self
+                .jobs
+                .table
+                .values()
+                .filter(|j| j.is_bound())
+                .map(|j| j.spec.rank)
+                .min(),
             over: over
                 .map(|(used, t)| used.cpu - Room::have(t.cpus, 0.0, 0.0).cpu)
                 .collect(),
@@ -613,6 +622,13 @@
         };
         let Some(team) = job.team else { return };
         let (need, rank) = (job.spec.need, job.spec.rank);
+        // Most jobs that wait may stop nothing: they needn't look at all that runs.
+        let lower = pass.lowest.is_some_and(|lowest| lowest < rank);
+        let mut others = pass.over.iter().enumerate().filter(|(t, _)| *t != team);
+        let borrowed = !priority.beyond_guarantee && others.any(|(_, over)| *over > 0);
+        if !lower && !borrowed {
+            return;
+        }
         let mut left = waiting.min(pass.team_room[team].times(need));
         let zones = self.zones_of(id);
         let allowed = |at: usize, places: &[Place]| {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -111,23 +111,68 @@
     pub memory_mb: Option<f64>,
 }
 
-/// What a connection costs with its thread's stack and buffers, as measured: about 30 KiB.
-const CONNECTION_KB: f64 = 48.0;
+/// What a thread that waits costs with its stack and buffers, as measured: about 30 KiB.
+const THREAD_KB: f64 = 48.0;
+/// What an idle connection costs, as measured: below 1 KiB.
+const CONNECTION_KB: f64 = 4.0;
+/// More threads than these don't make a controller with part of a core any faster.
+const MOST_THREADS: usize = 256;
+/// Beside what is counted: listeners, the state service, the cloud, peers' kept connections.
+const OTHER_SOCKETS: usize = 24;
 
 impl QuotaSettings {
-    /// How many connections of users and workers are served at once. The other sockets are for
-    /// the calls that this node makes itself, the other half of the memory for what it knows.
+    /// Threads that wait for the network in place of users' requests: at most an eighth of the
+    /// memory, and a socket each for the call that they wait for.
+    pub fn pool_threads(&self) -> usize {
+        let by_memory = self.memory_kb() / 8.0 / THREAD_KB;
+        (self.sockets / 16)
+            .min(by_memory as usize)
+            .clamp(8, MOST_THREADS)
+    }
+
+    /// Threads that send orders straight to workers. Silent machines hold one each for a while:
+    /// with few threads, a cut of hundreds would keep orders from all the others.
+    pub fn direct_threads(&self) -> usize {
+        (self.pool_threads() / 4).clamp(4, 48)
+    }
+
+    /// Connections that all peers together may have open here.
+    pub fn peer_connections(&self) -> usize {
+        self.pool_threads().clamp(16, 192)
+    }
+
+    fn public_sockets(&self) -> usize {
+        let own = self.pool_threads() + self.direct_threads() + self.peer_connections();
+        self.sockets.saturating_sub(own + OTHER_SOCKETS)
+    }
+
+    /// How many connections of users and workers are served at once: of the sockets that are left
+    /// all but a tenth, which is for kept connections to workers.
     pub fn connections(&self) -> usize {
-        let by_sockets = self.sockets * 3 / 5;
-        let by_memory = self
-            .memory_mb
-            .map_or(f64::INFINITY, |mb| mb * 512.0 / CONNECTION_KB);
+        let by_sockets = self.public_sockets() * 9 / 10;
+        let by_memory = self.memory_kb() / 4.0 / CONNECTION_KB;
         by_sockets.min(by_memory as usize).max(16)
     }
 
-    /// How many connections to workers are kept open.
-    pub fn kept_clients(&self) -> usize {
-        self.connections() / 2
+    /// How many connections to workers are kept open beside `open` ones of users and workers:
+    /// those come first.
+    pub fn kept_clients(&self, open: usize) -> usize {
+        self.public_sockets().saturating_sub(open)
+    }
+
+    /// Bytes of requests and answers under way that are held at once.
+    pub fn buffered(&self) -> usize {
+        (self.memory_kb() * 1024.0 / 8.0) as usize
+    }
+
+    /// Known machines and jobs are remembered up to this many after they are gone.
+    pub fn remembered(&self) -> usize {
+        (self.memory_kb() / 16.0) as usize
+    }
+
+    fn memory_kb(&self) -> f64 {
+        // Without a limit it is as if there were a gigabyte.
+        self.memory_mb.unwrap_or(1024.0) * 1024.0
     }
 }
 
--- a/src/workers/edge.rs
+++ b/src/workers/edge.rs
@@ -10,6 +10,7 @@
 use crate::time::{Micros, Moment};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -28,9 +29,9 @@
 
 impl Node {
     pub fn check_in(&self, body: &[u8]) -> Response {
-        let now = self.now();
         {
             let mut core = self.core();
+            let now = self.now();
             if core.acting(now).is_none() {
                 core.knocks.push_back(now);
                 while core.knocks.len() > MAX_KNOCKS {
@@ -47,6 +48,9 @@
             }
         };
         let mut core = self.core();
+        // The clock is read under the lock: a process may stand still at any point, and what was
+        // allowed before it may be another's by now.
+        let now = self.now();
         let Some((lead, cluster)) = core.acting(now) else {
             return self.misdirected(&core);
         };
@@ -115,7 +119,7 @@
                     None => {
                         drop(
                             self.poked
-                                .wait_timeout(core, Duration::from_secs(5))
+                                .wait_timeout(core, Duration::from_secs(60))
                                 .unwrap_or_else(|e| e.into_inner()),
                         );
                         continue;
@@ -137,7 +141,8 @@
     /// A kept client, or one for this call only when there are as many as sockets allow.
     fn worker_client(&self, addr: SocketAddr) -> Arc<Client> {
         let now = self.now();
-        let most = self.settings.settings.quota.kept_clients();
+        let open = self.open.load(Ordering::Relaxed);
+        let most = self.settings.settings.quota.kept_clients(open);
         let mut clients = self.workers.lock().unwrap_or_else(|e| e.into_inner());
         if let Some((client, used)) = clients.get_mut(&addr) {
             *used = now;
