--- a/src/cli.rs
+++ b/src/cli.rs
@@ -26,7 +26,8 @@
     #[arg(long, env = "ASPENREEL_ROUND_MS", default_value_t = 2000,
           value_parser = clap::value_parser!(u64).range(50..=60_000))]
     pub round_ms: u64,
-    /// Machines drawn for a task before all are looked at
+    /// Machines drawn for a task before all are looked at; one in 16 of those with room, where that
+    /// is more
     #[arg(long, env = "ASPENREEL_SAMPLE", default_value_t = 3,
           value_parser = clap::value_parser!(u64).range(1..=1000))]
     pub sample: u64,
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -152,21 +152,28 @@
     }
 
     /// Records the job; it is accepted once that is answered. Where this node can't write, for
-    /// want of tokens or because the state service refuses it alone, another one may.
+    /// want of tokens or because the state service refuses it alone, another one may: it is asked
+    /// first while the state service is silent here, since waiting for it takes longer than users
+    /// want to.
     fn accept(&self, submission: Submission) -> Response {
         let id = submission.id.clone();
+        let by_peers = || {
+            let body = encode(&submission);
+            let request = PeerRequest::Accept { body };
+            match self.ask_any(&request, Instant::now() + LOOKUP_TIME) {
+                Some(PeerReply::Job(view)) => Some(short(201, &id, view.state)),
+                _ => None,
+            }
+        };
+        let silent = !self.store.answers(self.now());
+        if silent && let Some(response) = by_peers() {
+            return response;
+        }
         match self.record(submission.clone()) {
             Accepted::New => short(201, &id, ViewState::Queued),
             Accepted::Known(view) => short(200, &id, view.state),
-            Accepted::Refused => {
-                let request = PeerRequest::Accept {
-                    body: encode(&submission),
-                };
-                match self.ask_any(&request, Instant::now() + LOOKUP_TIME) {
-                    Some(PeerReply::Job(view)) => short(201, &id, view.state),
-                    _ => Response::busy(RETRY_S),
-                }
-            }
+            Accepted::Refused if silent => Response::busy(RETRY_S),
+            Accepted::Refused => by_peers().unwrap_or_else(|| Response::busy(RETRY_S)),
         }
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -122,6 +122,10 @@
 /// One machine in this many, and one more, may be kept for jobs that waited too long.
 const MOST_RESERVED: usize = 32;
 
+/// Of the machines with room one in so many is drawn, where that is more than the sample that is
+/// set: three of hundreds seldom meet a machine that has the image or is nearly full.
+const DRAWN_OF: usize = 16;
+
 /// Passes are at least this long apart for each machine.
 const PASS_SPACING: Micros = Micros(100);
 
@@ -517,7 +521,8 @@
             return None;
         }
         let mut best: Option<(f64, usize)> = None;
-        for _ in 0..self.config.sample {
+        let sample = self.config.sample.max(pass.roomy.len() / DRAWN_OF);
+        for _ in 0..sample {
             if pass.roomy.is_empty() {
                 break;
             }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -109,6 +109,28 @@
     assert_snapshot!(w.log);
 }
 
+/// A leader stands still between deciding a start and sending it, and goes on when another leads. A
+/// machine that the next leader counted in refuses the order; on one that it hasn't, the task may
+/// start, and it starts nowhere else meanwhile.
+#[test]
+fn the_last_leader_stood_still() {
+    let mut w = World::new(5, one_team());
+    w.recorded("big-east-1", -60.0);
+    w.recorded("big-east-2", -60.0);
+    w.old_job(submission("run-1", |s| s.pieces = 2));
+    w.at(1.0).check_in("big-east-1", &[]).bound();
+    let woken = w.report("big-east-2", 4, 1, &["run-1/0#4.9 running"]);
+    w.at(3.0).send(&woken).bound();
+    w.at(4.0)
+        .check_in("big-east-2", &["run-1/0#4.9 running"])
+        .bound();
+    w.at(5.0)
+        .check_in("big-east-2", &["run-1/0#4.9 done"])
+        .round(true)
+        .view("run-1");
+    assert_snapshot!(w.log);
+}
+
 /// A lagging list may still name machines that were taken before a takeover. That they existed long
 /// before is known from the roster and from how long they were held: the next two lists prove
 /// that they are gone, and earlier jobs don't wait for most of a lease.
