--- /dev/null
+++ b/tests/replay.rs
@@ -0,0 +1,435 @@
+//! A busy spell of a whole fleet, replayed in one process: every check-in, direct call, placement
+//! pass, rental plan and write round that a leader would see, through the messages as they stand on
+//! the wire, with no clock and no socket.
+//!
+//! It asserts on what comes out. It is also how the leader's processor time is measured: under a
+//! profiler that counts instructions (`docs/operations.md`, *Measuring*), with `REPLAY_SCALE` times
+//! as much work on as many more machines.
+
+use aspenreel::cluster::{Cluster, ClusterConfig};
+use aspenreel::fleet::HireResult;
+use aspenreel::fleet::wire::{Catalog, MachineList};
+use aspenreel::http::cbor::{decode, encode};
+use aspenreel::jobs::rounds::affordable;
+use aspenreel::jobs::spec::Submission;
+use aspenreel::settings::{Objective, TeamSettings};
+use aspenreel::time::{Micros, Moment, WallTime};
+use aspenreel::workers::wire::{Cause, Order, Orders, Report, TaskReport, TaskStatus, Verb};
+use aspenreel::workers::{CheckIn, DirectResult};
+use ciborium::cbor;
+use std::collections::{BTreeMap, HashMap};
+
+const TERM: u64 = 3;
+const STEP_MS: u64 = 50;
+const BOOT_MS: u64 = 20_000;
+const FETCH_MS: u64 = 4_000;
+
+struct Task {
+    piece: String,
+    attempt: u64,
+    runs_at: u64,
+    ends_at: u64,
+    over: bool,
+}
+
+struct Worker {
+    name: String,
+    up_at: u64,
+    tick: u64,
+    next_report: u64,
+    images: Vec<String>,
+    tasks: Vec<Task>,
+    /// Room left, in whole CPUs.
+    free: f64,
+}
+
+struct Work {
+    image: String,
+    cpus: f64,
+    run_ms: u64,
+    tasks: u32,
+}
+
+struct Replay {
+    cluster: Cluster,
+    workers: BTreeMap<String, Worker>,
+    work: HashMap<String, Work>,
+    rng: fastrand::Rng,
+    now_ms: u64,
+    epoch: u64,
+    machines: u64,
+    limit: u64,
+    check_ins: u64,
+    calls: u64,
+    done: HashMap<String, u32>,
+    /// Which task runs where: nothing may start while it is there.
+    running: HashMap<String, String>,
+}
+
+impl Replay {
+    fn new(scale: u64) -> Replay {
+        let wire = cbor!({"builds" => [{"label" => "t64", "cpus" => 64, "ramGb" => 128,
+            "cacheGb" => 60, "fetchGbPerS" => 0.5, "rate" => 2.3, "lowPrice" => 0.5,
+            "startupS" => BOOT_MS / 1000, "yards" => ["a"]}]})
+        .unwrap();
+        let catalog: Catalog = decode(&encode(&wire)).unwrap();
+        let team = |name: &str, cpus: f64| TeamSettings {
+            name: name.into(),
+            cpus: cpus * scale as f64,
+            cpus_max: 2.0 * cpus * scale as f64,
+            gpus: 0.0,
+            gpus_max: 0.0,
+        };
+        let objective = |kind: &str, class: &str, within_s| Objective {
+            kind: kind.into(),
+            class: Some(class.into()),
+            within_s,
+        };
+        let config = ClusterConfig {
+            teams: vec![team("quick", 420.0), team("bulk", 1200.0)],
+            lease: Micros::from_secs(21),
+            report: Micros::from_secs(3),
+            list_lag: Micros::from_secs(8),
+            sample: 3,
+            idle: Micros::from_secs(20),
+            dear_patience: Micros::from_secs(120),
+            reserve: 0.5,
+            objectives: vec![
+                objective("wait", "urgent", 25.0),
+                objective("finished", "urgent", 120.0),
+                objective("deadline", "batch", 0.0),
+            ],
+            patience: Micros::from_secs(90),
+            remembered: 8000,
+        };
+        let mut cluster = Cluster::new(config, TERM, Moment(Micros::from_secs(1000).0), 7);
+        cluster.fleet.catalog = catalog.types();
+        Replay {
+            cluster,
+            workers: BTreeMap::new(),
+            work: HashMap::new(),
+            rng: fastrand::Rng::with_seed(11),
+            now_ms: 0,
+            epoch: 10,
+            machines: 0,
+            limit: 50 * scale,
+            check_ins: 0,
+            calls: 0,
+            done: HashMap::new(),
+            running: HashMap::new(),
+        }
+    }
+
+    fn now(&self) -> Moment {
+        Moment(Micros::from_secs(1000).0 + self.now_ms * 1000)
+    }
+
+    fn wall(&self) -> WallTime {
+        WallTime(1_700_000_000_000_000 + self.now_ms * 1000)
+    }
+
+    fn submit(&mut self, urgent: bool) {
+        let id = format!("run-{}", 100_000 + self.work.len());
+        let tasks = self.rng.u32(10..if urgent { 110 } else { 60 });
+        let run_ms = self.rng.u64(if urgent {
+            20_000..60_000
+        } else {
+            60_000..140_000
+        });
+        let image = format!("{}-{}", if urgent { "u" } else { "b" }, self.rng.u32(0..8));
+        let cpus = if urgent { 2.0 } else { 16.0 };
+        let wire = cbor!({
+            "ref" => &id, "lane" => if urgent { "urgent" } else { "batch" },
+            "crew" => if urgent { "quick" } else { "bulk" }, "shape" => "array",
+            "rank" => if urgent { "high" } else { "normal" }, "pieces" => tasks, "cpus" => cpus,
+            "gpus" => 0.0, "ramGb" => cpus, "bundle" => &image, "imageGb" => 2.0,
+            "samePlace" => false, "spread" => false, "loaners" => true,
+            "guessS" => run_ms as f64 / 1000.0, "bookmarkS" => 0.0, "stashS" => 0.0,
+            "dueS" => if urgent { None } else { Some(run_ms as f64 / 400.0) }
+        })
+        .unwrap();
+        let mut s = Submission::decode(&encode(&wire)).unwrap();
+        s.accepted_us = self.wall().0;
+        self.epoch += 1;
+        let (epoch, now, wall) = (self.epoch, self.now(), self.wall());
+        self.cluster.add_job(&s, epoch, now, wall);
+        self.cluster.place_soon(now);
+        let work = Work {
+            image,
+            cpus,
+            run_ms,
+            tasks,
+        };
+        self.work.insert(id, work);
+    }
+
+    fn report(&mut self, name: &str) -> Vec<u8> {
+        let now = self.now_ms;
+        let w = self.workers.get_mut(name).unwrap();
+        w.tick += 1;
+        let tasks = w.tasks.iter().map(|t| TaskReport {
+            piece: t.piece.clone(),
+            attempt: t.attempt,
+            status: match t {
+                t if t.over => TaskStatus::Exited,
+                t if t.runs_at <= now => TaskStatus::Running,
+                _ => TaskStatus::Fetching,
+            },
+            cause: t.over.then_some(Cause::Done),
+            stored: None,
+        });
+        encode(&Report {
+            machine: name.into(),
+            addr: "10.1.0.2:9000".into(),
+            type_name: "t64".into(),
+            zone: "a".into(),
+            spot: true,
+            session: 1,
+            tick: w.tick,
+            token: TERM,
+            recall: None,
+            tasks: tasks.collect(),
+        })
+    }
+
+    fn execute(&mut self, name: &str, orders: &[Order]) {
+        let now = self.now_ms;
+        let w = self.workers.get_mut(name).unwrap();
+        for order in orders {
+            let at = w
+                .tasks
+                .iter()
+                .position(|t| (&t.piece, t.attempt) == (&order.piece, order.attempt));
+            match (order.verb, at) {
+                (Verb::Run, None) => {
+                    let work = &self.work[order.piece.split('/').next().unwrap()];
+                    let other = self.running.insert(order.piece.clone(), name.to_string());
+                    assert_eq!(other, None, "{} starts on {name} as well", order.piece);
+                    w.free -= work.cpus;
+                    assert!(w.free >= 0.0, "{name} has no room for {}", order.piece);
+                    let mut runs_at = now;
+                    if !w.images.contains(&work.image) {
+                        w.images.push(work.image.clone());
+                        runs_at += FETCH_MS;
+                    }
+                    w.tasks.push(Task {
+                        piece: order.piece.clone(),
+                        attempt: order.attempt,
+                        runs_at,
+                        ends_at: runs_at + work.run_ms,
+                        over: false,
+                    });
+                }
+                (Verb::Run, Some(_)) | (_, None) => {}
+                (Verb::Stop | Verb::Clear, Some(at)) => {
+                    let t = w.tasks.remove(at);
+                    if !t.over {
+                        w.free += self.work[t.piece.split('/').next().unwrap()].cpus;
+                        self.running.remove(&t.piece);
+                    }
+                }
+            }
+        }
+    }
+
+    fn end_tasks(&mut self) {
+        let now = self.now_ms;
+        for w in self.workers.values_mut() {
+            for t in w.tasks.iter_mut().filter(|t| !t.over && t.ends_at <= now) {
+                t.over = true;
+                let job = t.piece.split('/').next().unwrap();
+                w.free += self.work[job].cpus;
+                self.running.remove(&t.piece);
+                *self.done.entry(job.to_string()).or_insert(0) += 1;
+                // What changed is told soon.
+                w.next_report = w.next_report.min(now + 100);
+            }
+        }
+    }
+
+    fn check_ins(&mut self) {
+        let now = self.now_ms;
+        let due = self
+            .workers
+            .values()
+            .filter(|w| w.up_at <= now && w.next_report <= now);
+        let due: Vec<String> = due.map(|w| w.name.clone()).collect();
+        for name in due {
+            self.check_ins += 1;
+            let body = self.report(&name);
+            let report: Report = decode(&body).unwrap();
+            let CheckIn::Orders(orders) = self.cluster.check_in(&report, self.now()) else {
+                panic!("{name} is turned away");
+            };
+            let answer = encode(&Orders {
+                token: TERM,
+                orders,
+            });
+            let answer: Orders = decode(&answer).unwrap();
+            self.execute(&name, &answer.orders);
+            let pause = self.rng.u64(2_250..3_750);
+            self.workers.get_mut(&name).unwrap().next_report = now + pause;
+        }
+    }
+
+    fn direct_calls(&mut self) {
+        while let Some(call) = self.cluster.next_direct(self.now()) {
+            self.calls += 1;
+            let name = call.machine.clone();
+            self.execute(&name, &call.orders);
+            let report = decode(&self.report(&name)).unwrap();
+            let now = self.now();
+            self.cluster
+                .direct_done(&call, DirectResult::Report(report), now);
+        }
+    }
+
+    /// What the state service takes: as many changes as the leader may write in a step.
+    fn write(&mut self, in_round: bool, mut left: usize) {
+        let mut writes = affordable(self.cluster.due_roster(false), &mut left);
+        writes.extend(affordable(self.cluster.due_claims(), &mut left));
+        writes.extend(affordable(self.cluster.due_finals(12), &mut left));
+        if in_round {
+            writes.extend(affordable(self.cluster.due_sets(left), &mut left));
+            writes.extend(affordable(
+                self.cluster.due_retirements(left, 12),
+                &mut left,
+            ));
+        }
+        for write in &writes {
+            self.epoch += 1;
+            self.cluster.written(write, self.epoch);
+        }
+        let now = self.now();
+        self.cluster.place_soon(now);
+    }
+
+    fn fleet(&mut self) {
+        let now = self.now();
+        self.cluster.plan_rentals(now);
+        for hire in self.cluster.fleet.hires.clone() {
+            let left = self.limit.saturating_sub(self.workers.len() as u64);
+            let count = u64::from(hire.count).min(left);
+            let names: Vec<String> = (0..count)
+                .map(|_| {
+                    self.machines += 1;
+                    format!("n-{:06}", self.machines)
+                })
+                .collect();
+            for name in &names {
+                let boot = self.rng.u64(BOOT_MS / 2..BOOT_MS * 3 / 2);
+                let up_at = self.now_ms + boot;
+                let worker = Worker {
+                    name: name.clone(),
+                    up_at,
+                    tick: 0,
+                    next_report: up_at,
+                    images: Vec::new(),
+                    tasks: Vec::new(),
+                    free: 64.0,
+                };
+                self.workers.insert(name.clone(), worker);
+            }
+            let result = match names.is_empty() {
+                true => HireResult::NoCapacity,
+                false => HireResult::Rented(names),
+            };
+            self.cluster.hired(&hire.name, result, now);
+        }
+        let names = self.cluster.plan_returns(now);
+        for name in &names {
+            let gone = self.workers.remove(name).unwrap();
+            assert!(
+                gone.tasks.iter().all(|t| t.over),
+                "{name} is returned with work on it"
+            );
+        }
+        self.cluster.returned(&names);
+    }
+
+    fn list(&mut self) {
+        let hosts: Vec<ciborium::Value> = self
+            .workers
+            .values()
+            .map(|w| {
+                let status = if w.up_at <= self.now_ms {
+                    "running"
+                } else {
+                    "starting"
+                };
+                cbor!({"ref" => &w.name, "build" => "t64", "yard" => "a", "loaners" => true,
+                       "addr" => "10.1.0.2:9000", "status" => status, "heldS" => 30.0})
+                .unwrap()
+            })
+            .collect();
+        let wire = encode(&cbor!({"hosts" => hosts, "more" => false}).unwrap());
+        let list: MachineList = decode(&wire).unwrap();
+        let now = self.now();
+        self.cluster.listed(&list.hosts, now, now);
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        self.end_tasks();
+        self.check_ins();
+        self.direct_calls();
+        self.write(self.now_ms % 2000 == 0, 6);
+        if self.now_ms % 250 == 0 {
+            let now = self.now();
+            self.cluster.tick(now);
+        }
+        if self.now_ms % 500 == 0 {
+            self.fleet();
+        }
+        if self.now_ms % 3000 == 0 {
+            self.list();
+        }
+        for job in self.work.keys() {
+            if self.now_ms % 5000 == 0 {
+                self.cluster.view(job);
+            }
+        }
+    }
+}
+
+/// Jobs come for a while and all of them get done, each task of them once, on machines that are
+/// rented for them and returned after; no task runs twice at a time and no machine is overfull.
+#[test]
+fn a_busy_spell() {
+    let scale = std::env::var("REPLAY_SCALE").map_or(1, |s| s.parse().unwrap());
+    let mut r = Replay::new(scale);
+    r.list();
+    let mut arrivals = 0.0;
+    while r.now_ms < 150_000 {
+        arrivals += 0.11 * scale as f64 * STEP_MS as f64 / 1000.0;
+        while arrivals >= 1.0 {
+            arrivals -= 1.0;
+            let urgent = r.rng.u32(0..5) > 0;
+            r.submit(urgent);
+        }
+        r.step();
+    }
+    let most = r.workers.len();
+    while !r.cluster.jobs.table.is_empty() && r.now_ms < 900_000 {
+        r.step();
+    }
+    println!(
+        "{} machines, {} jobs, {} check-ins, {} direct calls, {} s",
+        most,
+        r.work.len(),
+        r.check_ins,
+        r.calls,
+        r.now_ms / 1000
+    );
+    for (id, work) in &r.work {
+        assert_eq!(r.done.get(id), Some(&work.tasks), "{id}");
+    }
+    while !r.workers.is_empty() && r.now_ms < 1_000_000 {
+        r.step();
+    }
+    assert!(
+        r.workers.len() <= 1,
+        "{} machines are kept for nothing",
+        r.workers.len()
+    );
+}
