--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -5,6 +5,11 @@
 //! reads what arrives and answers what needs no wait; requests that may wait for the network go
 //! to a pool that grows by need up to a bound. A slow or silent client holds its connection, for a
 //! bounded time, and no thread.
+//!
+//! Hundreds of routine requests may be due at once (check-ins after a cut, say). On a small share of
+//! a core each costs milliseconds, and whoever asks for something else would wait for all of them.
+//! Connections that carry routine requests are therefore waited for in a set of their own, and
+//! taken a few at a time between looks at the others.
 
 use super::{MAX_BODY, MAX_HEAD};
 use crate::time::{Clock, Moment};
@@ -41,7 +46,13 @@
 const MAX_HEADERS: usize = 48;
 /// Connections taken in one turn, so that a storm of them doesn't keep out the open ones.
 const ACCEPTS_A_TURN: usize = 64;
+/// Requests taken in one turn: of all kinds but routine ones, and of these. Either kind goes on in
+/// bounded time whatever comes of the other.
+const REQUESTS_A_TURN: usize = 32;
+const ROUTINE_A_TURN: usize = 8;
 const LISTENER: u64 = 0;
+/// The set of connections with routine requests, as an event of the other set.
+const ROUTINE: u64 = 1;
 
 #[derive(Debug)]
 pub struct Request {
@@ -86,6 +97,10 @@
     }
     /// Answers what was handed back, on a thread that may wait.
     fn handle(&self, request: Request) -> Response;
+    /// True for requests that come again and again on the same connection and can bear a moment.
+    fn routine(&self, _request: &Request) -> bool {
+        false
+    }
 }
 
 /// How much a server takes on at once.
@@ -137,12 +152,15 @@
     state: Option<State>,
     /// Out of the poll set: something came while a thread worked on it.
     muted: bool,
+    /// It carries routine requests, and is in the set of these.
+    routine: bool,
 }
 
 /// One connection, in the hands of the thread that works on it.
 struct Held {
     key: u64,
     stream: Arc<TcpStream>,
+    routine: bool,
     state: State,
 }
 
@@ -155,6 +173,8 @@
 
 struct Server {
     epoll: OwnedFd,
+    /// Connections that carry routine requests; itself in `epoll`.
+    routine: OwnedFd,
     handler: Arc<dyn Handler>,
     clock: Arc<Clock>,
     limits: Limits,
@@ -186,6 +206,7 @@
     listener.set_nonblocking(true)?;
     let server = Arc::new(Server {
         epoll: epoll::create(CreateFlags::CLOEXEC)?,
+        routine: epoll::create(CreateFlags::CLOEXEC)?,
         handler,
         clock,
         limits,
@@ -197,26 +218,37 @@
     });
     let data = EventData::new_u64(LISTENER);
     epoll::add(&server.epoll, &listener, data, EventFlags::IN)?;
-    let mut next = LISTENER;
-    let mut events = Vec::with_capacity(256);
+    let data = EventData::new_u64(ROUTINE);
+    epoll::add(&server.epoll, &server.routine, data, EventFlags::IN)?;
+    let mut next = ROUTINE;
+    let mut events = Vec::with_capacity(REQUESTS_A_TURN);
+    let mut routine = Vec::with_capacity(ROUTINE_A_TURN);
     let mut swept = Instant::now();
+    let at_once = Timespec::default();
     let turn = Timespec {
         tv_sec: 0,
         tv_nsec: i64::from(SWEEP.subsec_nanos()),
     };
+    let mut more = false;
     loop {
-        events.clear();
-        let ready = rustix::buffer::spare_capacity(&mut events);
-        match epoll::wait(&server.epoll, ready, Some(&turn)) {
-            Ok(_) | Err(Errno::INTR) => {}
-            Err(e) => return Err(e.into()),
-        }
+        wait(
+            &server.epoll,
+            &mut events,
+            if more { &at_once } else { &turn },
+        )?;
         for event in events.drain(..) {
             match event.data.u64() {
                 LISTENER => server.accept(&listener, &mut next),
+                ROUTINE => {}
                 key => server.ready(key),
             }
         }
+        // Looked at whatever the other set says of it: that only ends the wait.
+        wait(&server.routine, &mut routine, &at_once)?;
+        more = routine.len() == ROUTINE_A_TURN;
+        for event in routine.drain(..) {
+            server.ready(event.data.u64());
+        }
         if swept.elapsed() >= SWEEP {
             swept = Instant::now();
             server.sweep(swept);
@@ -224,6 +256,14 @@
     }
 }
 
+/// What came in a set, as much as the list has room for.
+fn wait(set: &OwnedFd, events: &mut Vec<epoll::Event>, most: &Timespec) -> std::io::Result<()> {
+    match epoll::wait(set, rustix::buffer::spare_capacity(events), Some(most)) {
+        Ok(_) | Err(Errno::INTR) => Ok(()),
+        Err(e) => Err(e.into()),
+    }
+}
+
 impl Server {
     fn accept(&self, listener: &TcpListener, next: &mut u64) {
         for _ in 0..ACCEPTS_A_TURN {
@@ -254,6 +294,7 @@
                     ..State::default()
                 }),
                 muted: true,
+                routine: false,
             };
             let mut slots = lock(&self.slots);
             let slot = slots.entry(*next).or_insert(slot);
@@ -267,10 +308,11 @@
     /// Has the poll set wait for this; false if it can't.
     fn listen(&self, key: u64, slot: &mut Slot, flags: EventFlags) -> bool {
         let data = EventData::new_u64(key);
+        let set = self.set_of(slot);
         let result = if slot.muted {
-            epoll::add(&self.epoll, &*slot.stream, data, flags)
+            epoll::add(set, &*slot.stream, data, flags)
         } else {
-            epoll::modify(&self.epoll, &*slot.stream, data, flags)
+            epoll::modify(set, &*slot.stream, data, flags)
         };
         slot.muted = false;
         if let Err(e) = result {
@@ -280,6 +322,27 @@
         true
     }
 
+    fn set_of(&self, slot: &Slot) -> &OwnedFd {
+        match slot.routine {
+            true => &self.routine,
+            false => &self.epoll,
+        }
+    }
+
+    /// Has a connection waited for in the set of its kind of requests.
+    fn sort(&self, key: u64, routine: bool) {
+        let mut slots = lock(&self.slots);
+        let Some(slot) = slots.get_mut(&key).filter(|s| s.routine != routine) else {
+            return;
+        };
+        if !slot.muted {
+            let _ = epoll::delete(self.set_of(slot), &*slot.stream);
+        }
+        // It is waited for again once it is parked.
+        slot.muted = true;
+        slot.routine = routine;
+    }
+
     /// Something came on a connection, or its end, or room for the rest of an answer.
     fn ready(self: &Arc<Self>, key: u64) {
         let mut slots = lock(&self.slots);
@@ -290,15 +353,20 @@
             // Nobody pipelines; whoever does all the same, or leaves, waits for the answer.
             if !slot.muted {
                 slot.muted = true;
-                let _ = epoll::delete(&self.epoll, &*slot.stream);
+                let _ = epoll::delete(self.set_of(slot), &*slot.stream);
             }
             return;
         };
-        let stream = slot.stream.clone();
+        let (stream, routine) = (slot.stream.clone(), slot.routine);
         drop(slots);
         let held = state.buf.len() + state.out.len();
         self.buffered.fetch_sub(held, Ordering::Relaxed);
-        let held = Held { key, stream, state };
+        let held = Held {
+            key,
+            stream,
+            routine,
+            state,
+        };
         if held.state.out.is_empty() {
             self.read(held);
         } else {
@@ -366,6 +434,11 @@
                 Parsed::Partial => return self.park(held),
                 Parsed::Refuse(status) => (Response::new(status, Vec::new()), true),
                 Parsed::Request { request, close } => {
+                    let routine = self.handler.routine(&request);
+                    if routine != held.routine {
+                        held.routine = routine;
+                        self.sort(held.key, routine);
+                    }
                     match guarded(|| self.handler.at_once(request)) {
                         Ok(response) => (response, close),
                         Err(request) => match self.hand_over(held, request, close) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -330,6 +330,11 @@
         response.ok_or(request)
     }
 
+    /// Hundreds of workers check in whatever users do.
+    fn routine(&self, request: &Request) -> bool {
+        matches!(route(request), Route::CheckIn)
+    }
+
     fn handle(&self, request: Request) -> Response {
         match route(&request) {
             Route::Submit => self.submit(&request.body),
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -373,19 +373,19 @@
         self.end_tasks();
         self.check_ins();
         self.direct_calls();
-        self.write(self.now_ms % 2000 == 0, 6);
-        if self.now_ms % 250 == 0 {
+        self.write(self.now_ms.is_multiple_of(2000), 6);
+        if self.now_ms.is_multiple_of(250) {
             let now = self.now();
             self.cluster.tick(now);
         }
-        if self.now_ms % 500 == 0 {
+        if self.now_ms.is_multiple_of(500) {
             self.fleet();
         }
-        if self.now_ms % 3000 == 0 {
+        if self.now_ms.is_multiple_of(3000) {
             self.list();
         }
         for job in self.work.keys() {
-            if self.now_ms % 5000 == 0 {
+            if self.now_ms.is_multiple_of(5000) {
                 self.cluster.view(job);
             }
         }
