--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -70,6 +70,11 @@
     pub wall_at_start: WallTime,
     /// Machines with orders that go straight to them.
     pub poked: BTreeSet<String>,
+    /// When the direct calls that are under way began.
+    pub calls: Vec<Moment>,
+    /// The process falls behind for want of processor time: what check-in answers carry as well
+    /// isn't sent directly.
+    pub behind: bool,
     /// A job's final state waits for its record.
     pub urgent_rounds: bool,
 }
@@ -96,6 +101,8 @@
             awaiting_claim: BTreeMap::new(),
             wall_at_start: WallTime(0),
             poked: BTreeSet::new(),
+            calls: Vec::new(),
+            behind: false,
             urgent_rounds: false,
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -18,6 +18,10 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 
+const TICK: Micros = Micros::from_millis(250);
+/// A timer that fires this late tells that the process has used up its share of the processor: no
+/// other measure of a share that the system enforces from outside is at hand everywhere.
+const LATE: Micros = Micros::from_millis(25);
 const SUMMARY_EVERY: Micros = Micros::from_secs(10);
 
 /// How long a node that stood down for want of workers lets others go first. If nobody does, it
@@ -239,7 +243,9 @@
         let mut acting_since: Option<Moment> = None;
         let mut told = Moment(0);
         loop {
-            std::thread::sleep(std::time::Duration::from_millis(250));
+            let due = self.now() + TICK;
+            std::thread::sleep(TICK.duration());
+            let behind = self.now() - due > LATE;
             let mut core = self.core();
             let now = self.now();
             if core.acting(now).is_none() {
@@ -248,6 +254,7 @@
                 acting_since.get_or_insert(now);
             }
             if let Some((_, cluster)) = core.acting(now) {
+                cluster.behind = behind;
                 cluster.tick(now);
                 if log::log_enabled!(log::Level::Debug) && now - told > SUMMARY_EVERY {
                     told = now;
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -111,6 +111,12 @@
 /// A start that is stopped sooner doesn't count as one.
 const COUNTS_AFTER: Micros = Micros::from_secs(30);
 
+/// Direct calls that may be under way at once, but for those that have waited so long that the
+/// machine must be silent. An answer takes milliseconds; more at once only queue for the processor,
+/// and everything else with them.
+const CALLS_AT_ONCE: usize = 4;
+const SILENT_AFTER: Micros = Micros::from_millis(200);
+
 /// The first time between two probes of a machine in doubt; it doubles up to eight times that.
 const PROBE_WAIT: Micros = Micros::from_secs(2);
 
@@ -171,6 +177,7 @@
     pub session: u64,
     pub orders: Vec<Order>,
     starts: Vec<AttemptKey>,
+    began: Moment,
     /// Only asks whether orders reach the machine.
     pub probe: bool,
 }
@@ -699,8 +706,13 @@
 
     /// The next machine with orders that need not wait for its check-in.
     pub fn next_direct(&mut self, now: Moment) -> Option<DirectCall> {
+        let prompt = |t: &&Moment| now - **t < SILENT_AFTER;
+        if self.behind || self.calls.iter().filter(prompt).count() >= CALLS_AT_ONCE {
+            return None;
+        }
         while let Some(name) = self.poked.pop_first() {
             if let Some(call) = self.direct_call(&name, now) {
+                self.calls.push(call.began);
                 return Some(call);
             }
         }
@@ -728,6 +740,7 @@
                 session: machine.session,
                 orders: Vec::new(),
                 starts: Vec::new(),
+                began: now,
                 probe: true,
             });
         }
@@ -791,6 +804,7 @@
             session: machine.session,
             orders,
             starts,
+            began: now,
             probe: false,
         })
     }
@@ -822,6 +836,9 @@
 
     /// Settles a direct call. It renews no lease.
     pub fn direct_done(&mut self, call: &DirectCall, result: DirectResult, now: Moment) {
+        if let Some(at) = self.calls.iter().position(|t| *t == call.began) {
+            self.calls.swap_remove(at);
+        }
         let Some(machine) = self.machines.get_mut(&call.machine) else {
             return;
         };
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -558,6 +558,44 @@
     assert_snapshot!(w.log);
 }
 
+/// A job that spreads over many machines doesn't call all of them at once: on a small share of a
+/// core their answers would queue, and users' requests behind them. Calls that get no answer hold
+/// up the others only for a moment, and while timers fire late none is made: check-ins carry the
+/// orders.
+#[test]
+fn direct_calls_are_few_at_a_time() {
+    let mut w = World::new(2, one_team());
+    for n in 1..=9 {
+        w.check_in(&format!("big-east-{n}"), &[]);
+    }
+    for n in 1..=9 {
+        w.job(submission(&format!("run-{n}"), |s| {
+            s.pieces = 1;
+            s.cpus = decimal(10.0);
+            s.ram_gb = decimal(100.0);
+        }));
+    }
+    w.cluster.place(at(0.0));
+    w.record_fleet();
+    let calls = |w: &mut World, seconds: f64| {
+        let calls: Vec<_> = std::iter::from_fn(|| w.cluster.next_direct(at(seconds))).collect();
+        let names: Vec<&str> = calls.iter().map(|c| c.machine.as_str()).collect();
+        let text = format!("called: [{}]", names.join(", "));
+        w.at(seconds).note(&text);
+        calls
+    };
+    let first = calls(&mut w, 1.0);
+    w.cluster
+        .direct_done(&first[0], DirectResult::Unsent, at(1.01));
+    calls(&mut w, 1.02);
+    calls(&mut w, 1.15);
+    w.cluster.behind = true;
+    calls(&mut w, 1.3);
+    w.cluster.behind = false;
+    calls(&mut w, 1.4);
+    assert_snapshot!(w.log);
+}
+
 /// Endless small and urgent work, from `from` on, on a machine that it fills. Returns when the
 /// jobs of `patient` began, by second; `over` carries running tasks into a next leader's term.
 fn crowded(
