--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -74,7 +74,9 @@
     pub calls: Vec<Moment>,
     /// The process falls behind for want of processor time: what check-in answers carry as well
     /// isn't sent directly.
-    pub behind: bool,
+    pub(crate) behind: bool,
+    /// When it was last seen to fall behind.
+    behind_at: Moment,
     /// A job's final state waits for its record.
     pub urgent_rounds: bool,
 }
@@ -103,6 +105,7 @@
             poked: BTreeSet::new(),
             calls: Vec::new(),
             behind: false,
+            behind_at: Moment(0),
             urgent_rounds: false,
         }
     }
@@ -306,13 +309,23 @@
         }
     }
 
+    /// Notes whether the process falls behind.
+    pub fn note_pace(&mut self, behind: bool, now: Moment) {
+        self.behind = behind;
+        if behind {
+            self.behind_at = now;
+        }
+    }
+
     /// True when most machines fell silent together: rather this node is cut off than they are.
     ///
     /// The state service may still serve a leader that no worker reaches; it would keep its hold
-    /// while every lease runs out.
+    /// while every lease runs out. A leader that falls behind is not cut off: reports wait here,
+    /// unread, and the next leader would have no more processor, and hundreds of workers coming
+    /// over besides.
     pub fn unheard(&self, acting_since: Moment, now: Moment) -> bool {
         let patience = self.config.report.scaled(1.5);
-        if now - acting_since < patience.scaled(2.0) {
+        if now - acting_since.max(self.behind_at) < patience.scaled(2.0) {
             return false;
         }
         let silent_at = |m: &&Machine| m.last_report.is_none_or(|t| now - t > patience);
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -110,7 +110,7 @@
         loop {
             std::thread::sleep(COMPANY_EVERY);
             let heard = |node: &Node| node.now() - node.store.last_answer() < ALONE;
-            let answers = |p: &PeerClient| p.call(&PeerRequest::Ping, PING_TIME).is_ok();
+            let answers = |p: &PeerClient| p.answers(PING_TIME);
             let company = heard(self) || self.peers.is_empty() || self.peers.values().any(answers);
             self.alone.store(!company, Ordering::Relaxed);
         }
--- a/src/leadership/peer.rs
+++ b/src/leadership/peer.rs
@@ -59,19 +59,52 @@
 pub struct PeerClient {
     addr: SocketAddr,
     kept: Mutex<Vec<TcpStream>>,
+    /// When it last let a question run out of time.
+    timed_out: Mutex<Option<Instant>>,
+    left_alone: Duration,
 }
 
+/// After a question that ran out of time a peer isn't asked for this long. It may be gone; or it has
+/// more to do than processor, and answers to whoever has given up would take what is left of it.
+const LEFT_ALONE: Duration = Duration::from_secs(1);
+
 impl PeerClient {
     pub fn new(addr: SocketAddr) -> Self {
+        PeerClient::leaving_alone(addr, LEFT_ALONE)
+    }
+
+    /// A client that leaves a peer alone for so long.
+    pub fn leaving_alone(addr: SocketAddr, left_alone: Duration) -> Self {
         PeerClient {
             addr,
             kept: Mutex::new(Vec::new()),
+            timed_out: Mutex::new(None),
+            left_alone,
         }
     }
 
     /// Asks once. A kept connection may belong to a process that has ended since: then the
     /// request, which can bear to be repeated, goes out on a new one.
     pub fn call(&self, request: &PeerRequest, timeout: Duration) -> std::io::Result<PeerReply> {
+        let timed_out = || self.timed_out.lock().unwrap_or_else(|e| e.into_inner());
+        if timed_out().is_some_and(|at| at.elapsed() < self.left_alone) {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        let result = self.call_now(request, timeout);
+        if let Err(e) = &result
+            && matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
+        {
+            *timed_out() = Some(Instant::now());
+        }
+        result
+    }
+
+    /// True if the peer answers, whatever became of earlier questions.
+    pub fn answers(&self, timeout: Duration) -> bool {
+        self.call_now(&PeerRequest::Ping, timeout).is_ok()
+    }
+
+    fn call_now(&self, request: &PeerRequest, timeout: Duration) -> std::io::Result<PeerReply> {
         let kept = self.kept.lock().unwrap_or_else(|e| e.into_inner()).pop();
         let since = Instant::now();
         if let Some(stream) = kept {
@@ -144,3 +177,37 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// An overloaded leader is asked by four others for whatever users ask them. Each question that
+    /// runs out of time costs it a new connection and an answer to nobody; asked on and on, it
+    /// collapses (half the lean share of a processor, `docs/results.md`).
+    #[test]
+    fn a_peer_that_lets_questions_run_out_is_left_alone() {
+        let mute = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = mute.local_addr().unwrap();
+        mute.set_nonblocking(true).unwrap();
+        let asked = || {
+            let mut n = 0;
+            while mute.accept().is_ok() {
+                n += 1;
+            }
+            n
+        };
+        let time = Duration::from_millis(30);
+        let client = PeerClient::leaving_alone(addr, Duration::from_secs(3600));
+        let ask = |c: &PeerClient| c.call(&PeerRequest::Read { id: "run-1".into() }, time);
+        assert!(ask(&client).is_err());
+        assert_eq!(asked(), 1);
+        assert!(ask(&client).is_err());
+        assert_eq!(asked(), 0);
+        assert!(!client.answers(time));
+        assert_eq!(asked(), 1, "whether it is there is asked all the same");
+        let patient = PeerClient::leaving_alone(addr, Duration::ZERO);
+        assert!(ask(&patient).is_err() && ask(&patient).is_err());
+        assert_eq!(asked(), 2);
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -254,7 +254,7 @@
                 acting_since.get_or_insert(now);
             }
             if let Some((_, cluster)) = core.acting(now) {
-                cluster.behind = behind;
+                cluster.note_pace(behind, now);
                 cluster.tick(now);
                 if log::log_enabled!(log::Level::Debug) && now - told > SUMMARY_EVERY {
                     told = now;
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -589,13 +589,32 @@
         .direct_done(&first[0], DirectResult::Unsent, at(1.01));
     calls(&mut w, 1.02);
     calls(&mut w, 1.15);
-    w.cluster.behind = true;
+    w.cluster.note_pace(true, at(1.3));
     calls(&mut w, 1.3);
-    w.cluster.behind = false;
+    w.cluster.note_pace(false, at(1.4));
     calls(&mut w, 1.4);
     assert_snapshot!(w.log);
 }
 
+/// A leader that most workers fall silent to stands down, but not while it falls behind itself: it
+/// lost term after term to its own work, and each cost more than it had.
+#[test]
+fn a_slow_leader_keeps_its_term() {
+    let silent = |behind: bool, at_seconds: f64| {
+        let mut w = World::new(2, one_team());
+        for n in 1..=4 {
+            w.check_in(&format!("big-east-{n}"), &[]);
+        }
+        w.cluster.note_pace(behind, at(4.0));
+        w.cluster.unheard(at(0.0), at(at_seconds))
+    };
+    assert!(!silent(false, 4.0), "nobody is silent yet");
+    assert!(silent(false, 10.0));
+    assert!(!silent(true, 10.0));
+    // Once it has kept up for long enough, silence counts again.
+    assert!(silent(true, 13.5));
+}
+
 /// Endless small and urgent work, from `from` on, on a machine that it fills. Returns when the
 /// jobs of `patient` began, by second; `over` carries running tasks into a next leader's term.
 fn crowded(
