--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -248,7 +248,7 @@
                 key => server.ready(key),
             }
         }
-        // Looked at whatever the other set says of it: that only ends the wait.
+        // Whatever the other set says of it: its event only ends the wait.
         wait(&server.routine, &mut routine, &at_once)?;
         more = routine.len() == ROUTINE_A_TURN;
         for event in routine.drain(..) {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -55,7 +55,7 @@
 /// hold. Every acceptance guards its absence, so that no node accepts what no leader could hold.
 pub const FULL_KEY: &str = "full";
 
-/// What a job takes beside its name and its tasks, at least, as measured: 1.5 KB.
+/// What a job takes beside its name and its tasks, at least; measured: 1.3 KB.
 const JOB_BYTES: usize = 2048;
 
 pub fn final_key(id: &str) -> String {
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,6 +22,8 @@
 /// A timer that fires this late tells that the process has used up its share of the processor: no
 /// other measure of a share that the system enforces from outside is at hand everywhere.
 const LATE: Micros = Micros::from_millis(25);
+/// How often a process that falls behind most of the time says so.
+const PACE_EVERY: Micros = Micros::from_secs(60);
 const SUMMARY_EVERY: Micros = Micros::from_secs(10);
 
 /// How long a node that stood down for want of workers lets others go first. If nobody does, it
@@ -244,10 +246,20 @@
         // Silence counts only while this node answers: during an outage it turns workers away.
         let mut acting_since: Option<Moment> = None;
         let mut told = Moment(0);
+        // Ticks and late ones of the last while, for a word to the operator.
+        let (mut ticks, mut late, mut counted) = (0u32, 0u32, self.now());
         loop {
             let due = self.now() + TICK;
             std::thread::sleep(TICK.duration());
             let behind = self.now() - due > LATE;
+            ticks += 1;
+            late += u32::from(behind);
+            if self.now() - counted > PACE_EVERY {
+                if late * 2 > ticks {
+                    log::warn!("short of processor: {late} of {ticks} timers fired late");
+                }
+                (ticks, late, counted) = (0, 0, self.now());
+            }
             let mut core = self.core();
             let now = self.now();
             if core.acting(now).is_none() {
