--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -250,7 +250,7 @@
         }
         // Whatever the other set says of it: its event only ends the wait.
         wait(&server.routine, &mut routine, &at_once)?;
-        more = routine.len() == ROUTINE_A_TURN;
+        more = routine.len() >= ROUTINE_A_TURN;
         for event in routine.drain(..) {
             server.ready(event.data.u64());
         }
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -17,10 +17,22 @@
     gate: Mutex<bool>,
     opened: Condvar,
     inside: AtomicUsize,
+    /// The paths of what was answered at once, in turn.
+    order: Mutex<Vec<String>>,
 }
 
 impl Handler for Echo {
+    fn routine(&self, request: &Request) -> bool {
+        request.path.starts_with("/routine")
+    }
+
     fn at_once(&self, request: Request) -> Result<Response, Request> {
+        self.order.lock().unwrap().push(request.path.clone());
+        if request.path == "/routine/gate" {
+            self.inside.fetch_add(1, Ordering::SeqCst);
+            let open = self.gate.lock().unwrap();
+            drop(self.opened.wait_while(open, |open| !*open).unwrap());
+        }
         match request.path.as_str() {
             "/late" => Ok(Response {
                 valid_until: Some(aspenreel::time::Moment(0)),
@@ -253,6 +265,49 @@
     assert!(body.iter().all(|b| *b == 7));
 }
 
+/// Hundreds of check-ins may be due at once: whoever asks for something else waits for a few of them
+/// and not for all, and they are all answered.
+#[test]
+fn others_do_not_wait_for_all_that_is_routine() {
+    let limits = Limits {
+        connections: 400,
+        threads: 2,
+        buffered: 1 << 20,
+    };
+    let (addr, echo) = start_with(limits);
+    let mut user = TcpStream::connect(addr).unwrap();
+    assert_eq!(status(&ask(&mut user, "/now")), "200");
+    let mut workers: Vec<TcpStream> = (0..200)
+        .map(|_| TcpStream::connect(addr).unwrap())
+        .collect();
+    for worker in &mut workers {
+        assert_eq!(status(&ask(worker, "/routine")), "200");
+    }
+    echo.order.lock().unwrap().clear();
+    let send = |s: &mut TcpStream, path: &str| {
+        let request = format!("GET {path} HTTP/1.1\r\n\r\n");
+        s.write_all(request.as_bytes()).unwrap();
+    };
+    // While one holds up the thread that all share, all the others become due, the user last.
+    send(&mut workers[0], "/routine/gate");
+    while echo.inside.load(Ordering::SeqCst) < 1 {
+        std::thread::yield_now();
+    }
+    for worker in &mut workers[1..] {
+        send(worker, "/routine");
+    }
+    send(&mut user, "/now");
+    *echo.gate.lock().unwrap() = true;
+    echo.opened.notify_all();
+    assert_eq!(status(&answer(&mut user)), "200");
+    for worker in &mut workers {
+        assert_eq!(status(&answer(worker)), "200");
+    }
+    let order = echo.order.lock().unwrap();
+    let before = order.iter().position(|path| path == "/now").unwrap();
+    assert!(before <= 16, "{before} of {} came first", order.len() - 1);
+}
+
 /// A client that sends all of a body that is too large reads why it was refused, and nothing of the
 /// body is kept.
 #[test]
