--- /dev/null
+++ b/src/workers/direct.rs
@@ -0,0 +1,220 @@
+//! Orders that go straight to a worker's address: which may, and what their answers prove.
+
+use super::wire::{Order, Report, TaskStatus, Verb};
+use super::{Attempt, AttemptKey, Direct, MAX_ORDERS, PROBE_WAIT, Wanted};
+use crate::cluster::Cluster;
+use crate::time::{Micros, Moment};
+
+/// Direct calls that may be under way at once, but for those that have waited so long that the
+/// machine must be silent. An answer takes milliseconds; more at once only queue for the processor,
+/// and everything else with them.
+const CALLS_AT_ONCE: usize = 4;
+const SILENT_AFTER: Micros = Micros::from_millis(200);
+
+/// Orders for one machine that go straight to its address.
+#[derive(Debug)]
+pub struct DirectCall {
+    pub machine: String,
+    pub addr: String,
+    pub token: u64,
+    pub session: u64,
+    pub orders: Vec<Order>,
+    starts: Vec<AttemptKey>,
+    began: Moment,
+    /// Only asks whether orders reach the machine.
+    pub probe: bool,
+}
+
+/// How a direct call ended.
+#[derive(Debug)]
+pub enum DirectResult {
+    /// Executed, or surely refused: the worker's report after it.
+    Report(Report),
+    /// Never sent, for want of a socket here.
+    Unsent,
+    /// Never sent: no connection to the machine came about.
+    Unreached,
+    Unknown,
+}
+
+impl Cluster {
+    /// The next machine with orders that need not wait for its check-in.
+    pub fn next_direct(&mut self, now: Moment) -> Option<DirectCall> {
+        let prompt = |t: &&Moment| now - **t < SILENT_AFTER;
+        if self.behind || self.calls.iter().filter(prompt).count() >= CALLS_AT_ONCE {
+            return None;
+        }
+        while let Some(name) = self.poked.pop_first() {
+            if let Some(call) = self.direct_call(&name, now) {
+                self.calls.push(call.began);
+                return Some(call);
+            }
+        }
+        None
+    }
+
+    fn direct_call(&mut self, name: &str, now: Moment) -> Option<DirectCall> {
+        let fresh = self.config.report.scaled(2.0);
+        let machine = self.machines.get_mut(name)?;
+        let heard = machine.last_report.is_some_and(|t| now - t < fresh);
+        if machine.calling || machine.lost || !heard {
+            return None;
+        }
+        if let Some(doubt) = &mut machine.doubt {
+            if doubt.probe_at > now {
+                return None;
+            }
+            doubt.probe_at = now + doubt.wait;
+            doubt.wait = Micros((doubt.wait.0 * 2).min(8 * PROBE_WAIT.0));
+            machine.calling = true;
+            return Some(DirectCall {
+                machine: name.to_string(),
+                addr: machine.addr.clone(),
+                token: self.term,
+                session: machine.session,
+                orders: Vec::new(),
+                starts: Vec::new(),
+                began: now,
+                probe: true,
+            });
+        }
+        if !machine.counted_in {
+            return None;
+        }
+        let mut orders = Vec::new();
+        let mut starts = Vec::new();
+        for (key, attempt) in &mut machine.attempts {
+            let Some(job) = self.jobs.table.get(&key.0) else {
+                continue;
+            };
+            let verb = match (attempt.status, attempt.wanted) {
+                (None, Wanted::Run)
+                    if key.1 < job.claimed
+                        && machine.recorded
+                        && attempt.sent.is_none()
+                        && attempt.direct == Direct::Settled
+                        && !job.cancel_asked
+                        && job.outcome.is_none() =>
+                {
+                    Verb::Run
+                }
+                (Some(status), Wanted::Stop { .. })
+                    if status != TaskStatus::Exited && attempt.stop_sent.is_none() =>
+                {
+                    Verb::Stop
+                }
+                _ => continue,
+            };
+            let leeway_s = match attempt.wanted {
+                Wanted::Stop { leeway } => Some(leeway.as_secs_f64()),
+                Wanted::Run => None,
+            };
+            orders.push(Order {
+                verb,
+                piece: format!("{}/{}", job.spec.id, key.1),
+                attempt: key.2,
+                leeway_s,
+            });
+            if verb == Verb::Run {
+                attempt.direct = Direct::InFlight;
+                starts.push(*key);
+            } else {
+                attempt.stop_sent = Some(now);
+            }
+            if orders.len() >= MAX_ORDERS {
+                break;
+            }
+        }
+        if orders.is_empty() {
+            return None;
+        }
+        // Stops go first: they make the room that the starts need.
+        orders.sort_by_key(|o| o.verb == Verb::Run);
+        machine.calling = true;
+        Some(DirectCall {
+            machine: name.to_string(),
+            addr: machine.addr.clone(),
+            token: self.term,
+            session: machine.session,
+            orders,
+            starts,
+            began: now,
+            probe: false,
+        })
+    }
+
+    /// Starts that never left, on a machine that isn't reached: they go elsewhere at once instead
+    /// of when its lease is over. A connection attempt that was given up never completes.
+    fn drop_unsent(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        let unsent = |a: &Attempt| {
+            a.status.is_none() && a.sent.is_none() && a.direct == Direct::Settled && a.bound
+        };
+        let keys: Vec<AttemptKey> = machine
+            .attempts
+            .iter()
+            .filter(|(_, a)| unsent(a))
+            .map(|(k, _)| *k)
+            .collect();
+        machine.rooms.set(None);
+        for key in keys {
+            machine.attempts.remove(&key);
+            if let Some(job) = self.jobs.table.get_mut(&key.0) {
+                job.unbind(key.1);
+            }
+            self.dirty = true;
+        }
+    }
+
+    /// Settles a direct call. It renews no lease.
+    pub fn direct_done(&mut self, call: &DirectCall, result: DirectResult, now: Moment) {
+        if let Some(at) = self.calls.iter().position(|t| *t == call.began) {
+            self.calls.swap_remove(at);
+        }
+        let Some(machine) = self.machines.get_mut(&call.machine) else {
+            return;
+        };
+        machine.calling = false;
+        let settled = match result {
+            DirectResult::Unknown => Direct::Uncertain,
+            _ => Direct::Settled,
+        };
+        let lost = matches!(result, DirectResult::Unknown | DirectResult::Unreached);
+        match &result {
+            _ if lost && !machine.lost && !call.probe => machine.note_loss(now),
+            // Only what reached it can have been answered.
+            DirectResult::Report(r)
+                if r.machine == call.machine
+                    && r.session == call.session
+                    && r.session == machine.session =>
+            {
+                self.dirty |= machine.doubt.take().is_some();
+            }
+            _ => {}
+        }
+        for key in &call.starts {
+            if let Some(attempt) = machine.attempts.get_mut(key) {
+                attempt.direct = settled;
+            }
+        }
+        let answered = matches!(result, DirectResult::Report(_));
+        if let DirectResult::Report(report) = result
+            && report.machine == call.machine
+            && report.token <= self.term
+            && !machine.lost
+            && (report.session, report.tick) > (machine.session, machine.tick)
+        {
+            self.take_in(&report, false, now);
+            self.place_soon(now);
+        }
+        if lost {
+            self.drop_unsent(&call.machine);
+        } else if answered && !call.probe {
+            // What was decided meanwhile waits for the next call. Without an answer it waits for
+            // a check-in: a machine that refuses connections would be called without end.
+            self.poked.insert(call.machine.clone());
+        }
+    }
+}
--- a/src/workers/edge.rs
+++ b/src/workers/edge.rs
@@ -1,8 +1,8 @@
 //! Check-ins as they arrive, and direct calls as they leave.
 
 use super::CheckIn;
+use super::direct::{DirectCall, DirectResult};
 use super::wire::{Commands, Misdirected, Orders, Report};
-use super::{DirectCall, DirectResult};
 use crate::http::cbor::{decode, encode};
 use crate::http::client::{CallError, Client};
 use crate::http::server::Response;
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -14,8 +14,9 @@
 use aspenreel::jobs::spec::Submission;
 use aspenreel::settings::{Objective, TeamSettings};
 use aspenreel::time::{Micros, Moment, WallTime};
+use aspenreel::workers::CheckIn;
+use aspenreel::workers::direct::DirectResult;
 use aspenreel::workers::wire::{Cause, Order, Orders, Report, TaskReport, TaskStatus, Verb};
-use aspenreel::workers::{CheckIn, DirectResult};
 use ciborium::cbor;
 use std::collections::{BTreeMap, HashMap};
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -7,7 +7,7 @@
 use aspenreel::jobs::rounds::{WriteKind, affordable};
 use aspenreel::jobs::spec::Rank;
 use aspenreel::settings::Objective;
-use aspenreel::workers::DirectResult;
+use aspenreel::workers::direct::DirectResult;
 use insta::assert_snapshot;
 use std::collections::BTreeMap;
 use trace::{SimWorker, World, at, decimal, submission, team};
