--- a/src/fleet/edge.rs
+++ b/src/fleet/edge.rs
@@ -4,6 +4,7 @@
 use super::wire::{Catalog, MachineList, Names, RentRequest};
 use crate::http::cbor::{decode, encode};
 use crate::node::Node;
+use crate::os::pause;
 use crate::state_store::{Change, Urgency, from_value, to_value};
 use crate::time::{Micros, Moment};
 use std::sync::Arc;
@@ -77,11 +78,11 @@
             } else if let Some(catalog) = self.fetch_catalog() {
                 self.set_catalog(&catalog);
             } else {
-                std::thread::sleep(Duration::from_millis(fastrand::u64(300..600)));
+                pause(&*self.os, 300, 600);
             }
         }
         loop {
-            std::thread::sleep(Duration::from_secs(fastrand::u64(240..360)));
+            pause(&*self.os, 240_000, 360_000);
             if let Some(catalog) = self.fetch_catalog() {
                 self.set_catalog(&catalog);
             }
@@ -92,7 +93,7 @@
         let mut last_catalog: Option<Moment> = None;
         let mut saved_term = 0;
         loop {
-            std::thread::sleep(STEP);
+            self.os.sleep(STEP);
             let now = self.now();
             let (list_due, term) = {
                 let mut core = self.core();
@@ -220,7 +221,7 @@
                 cluster.hired(&hire.name, result, now);
             }
             if failed {
-                std::thread::sleep(Duration::from_millis(500));
+                self.os.sleep(Duration::from_millis(500));
                 return;
             }
         }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -12,7 +12,8 @@
 //! taken a few at a time between looks at the others.
 
 use super::{MAX_BODY, MAX_HEAD};
-use crate::time::{Clock, Moment};
+use crate::os::{Os, System};
+use crate::time::Moment;
 use rustix::event::Timespec;
 use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
 use rustix::io::Errno;
@@ -181,7 +182,7 @@
     /// Connections that carry routine requests; itself in `epoll`.
     routine: OwnedFd,
     handler: Arc<dyn Handler>,
-    clock: Arc<Clock>,
+    os: Arc<System>,
     limits: Limits,
     slots: Mutex<HashMap<u64, Slot>>,
     pool: Mutex<Pool>,
@@ -204,7 +205,7 @@
 pub fn serve(
     listener: TcpListener,
     handler: Arc<dyn Handler>,
-    clock: Arc<Clock>,
+    os: Arc<System>,
     limits: Limits,
     open: Arc<AtomicUsize>,
 ) -> std::io::Result<()> {
@@ -213,7 +214,7 @@
         epoll: epoll::create(CreateFlags::CLOEXEC)?,
         routine: epoll::create(CreateFlags::CLOEXEC)?,
         handler,
-        clock,
+        os,
         limits,
         slots: Mutex::default(),
         pool: Mutex::default(),
@@ -501,7 +502,7 @@
     /// Writes an answer; gives the connection back if all of it left.
     fn answer(&self, mut held: Held, response: Response, close: bool) -> Option<Held> {
         let response = match response.valid_until {
-            Some(until) if self.clock.now() >= until => Response::busy(1),
+            Some(until) if self.os.now() >= until => Response::busy(1),
             _ => response,
         };
         let retry = match response.retry_after_s {
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -28,16 +28,12 @@
         // The term under which, and whether, no more jobs are accepted.
         let mut full = (0, false);
         loop {
-            std::thread::sleep(GATHER);
+            self.os.sleep(GATHER);
             let now = self.now();
             let (writes, guard) = {
                 let mut core = self.core();
                 let Some((lead, cluster)) = core.acting(now) else {
-                    drop(
-                        self.changed
-                            .wait_timeout(core, Duration::from_millis(500))
-                            .unwrap_or_else(|e| e.into_inner()),
-                    );
+                    self.await_change(core, Duration::from_millis(500));
                     continue;
                 };
                 let guard = lead.guard();
@@ -83,11 +79,7 @@
                     let wait = wait
                         .duration()
                         .clamp(Duration::from_millis(20), Duration::from_millis(2000));
-                    drop(
-                        self.changed
-                            .wait_timeout(core, wait)
-                            .unwrap_or_else(|e| e.into_inner()),
-                    );
+                    self.await_change(core, wait);
                     continue;
                 }
                 (writes, guard)
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -6,11 +6,12 @@
 use crate::http::server::Response;
 use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest};
 use crate::node::{Core, Node};
+use crate::os::left;
 use crate::state_store::{Change, Commit, Guard, StoreError, Urgency, from_value, to_value};
-use crate::time::Micros;
+use crate::time::{Micros, Moment};
 use serde::{Deserialize, Serialize};
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// What could be found out about a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,17 +81,17 @@
 const RETRY_S: u32 = 1;
 /// The same, while the service holds as many jobs as it can: some must get done first.
 const FULL_RETRY_S: u32 = 5;
-const PEER_TIME: Duration = Duration::from_millis(500);
+const PEER_TIME: Micros = Micros::from_millis(500);
 const PING_TIME: Duration = Duration::from_millis(150);
 const COMPANY_EVERY: Duration = Duration::from_secs(1);
 /// Without a word of the state service for this long, a node looks for company.
 const ALONE: Micros = Micros::from_secs(6);
 /// Users wait two seconds for a status: what can't be found out by then is said to be unknown.
-const LOOKUP_TIME: Duration = Duration::from_millis(1600);
+const LOOKUP_TIME: Micros = Micros::from_millis(1600);
 /// Reads for users are given up sooner than others, so that a peer can still be asked.
 const READ_TIME: Duration = Duration::from_millis(700);
 /// A withdrawal is answered once it is recorded, or else refused after this.
-const WITHDRAW_TIME: Duration = Duration::from_millis(2000);
+const WITHDRAW_TIME: Micros = Micros::from_millis(2000);
 
 impl Node {
     /// Any node that knows the machine types can take requests, leader or not.
@@ -112,7 +113,7 @@
     /// to wait for it.
     pub fn company_loop(&self) {
         loop {
-            std::thread::sleep(COMPANY_EVERY);
+            self.os.sleep(COMPANY_EVERY);
             let heard = |node: &Node| node.now() - node.store.last_answer() < ALONE;
             let answers = |p: &PeerClient| p.answers(PING_TIME);
             let company = heard(self) || self.peers.is_empty() || self.peers.values().any(answers);
@@ -164,7 +165,7 @@
         let by_peers = || {
             let body = encode(&submission);
             let request = PeerRequest::Accept { body };
-            match self.ask_any(&request, Instant::now() + LOOKUP_TIME) {
+            match self.ask_any(&request, self.now() + LOOKUP_TIME) {
                 Some(PeerReply::Job(view)) => Some(short(201, &id, view.state)),
                 _ => None,
             }
@@ -203,7 +204,7 @@
         if let Some(view) = self.view_here(id) {
             return PeerReply::Job(view);
         }
-        match self.read_job(id, Instant::now() + PEER_TIME) {
+        match self.read_job(id, self.now() + PEER_TIME) {
             Ok(Some(view)) => PeerReply::Job(view),
             Ok(None) => PeerReply::Absent,
             Err(_) => PeerReply::Busy,
@@ -212,17 +213,14 @@
 
     /// Asks the other nodes in turn until one can tell, beginning anywhere: with the same one
     /// always first, a dead one would cost every question its time.
-    fn ask_any(&self, request: &PeerRequest, deadline: Instant) -> Option<PeerReply> {
+    fn ask_any(&self, request: &PeerRequest, deadline: Moment) -> Option<PeerReply> {
         let peers: Vec<&PeerClient> = self.peers.values().collect();
         let first = fastrand::usize(0..peers.len().max(1));
         (0..peers.len())
             .map(|i| peers[(first + i) % peers.len()])
             .filter_map(|peer| {
-                let left = deadline.saturating_duration_since(Instant::now());
-                if left.is_zero() {
-                    return None;
-                }
-                peer.call(request, PEER_TIME.min(left)).ok()
+                let left = left(&*self.os, deadline)?;
+                peer.call(request, PEER_TIME.duration().min(left)).ok()
             })
             .find(|reply| matches!(reply, PeerReply::Job(_) | PeerReply::Absent))
     }
@@ -239,7 +237,7 @@
             return Accepted::Refused;
         }
         let id = submission.id.clone();
-        let wall = self.clock.wall();
+        let wall = self.os.wall();
         submission.accepted_us = wall.0;
         let guards = [
             Guard::new(job_key(&id), 0),
@@ -302,7 +300,7 @@
             reply = self
                 .ask_leader(
                     &PeerRequest::Withdraw { id: id.to_string() },
-                    WITHDRAW_TIME + PEER_TIME,
+                    (WITHDRAW_TIME + PEER_TIME).duration(),
                 )
                 .unwrap_or(PeerReply::Busy);
         }
@@ -311,7 +309,7 @@
                 self.core().finals.note(id, view);
                 short(200, id, view.state)
             }
-            PeerReply::Unknown => match self.read_job(id, Instant::now() + LOOKUP_TIME) {
+            PeerReply::Unknown => match self.read_job(id, self.now() + LOOKUP_TIME) {
                 Ok(Some(view)) if view.is_final() => short(200, id, view.state),
                 Ok(None) => Response::new(404, Vec::new()),
                 _ => Response::busy(RETRY_S),
@@ -322,7 +320,7 @@
 
     /// Cancels a job if this node leads, and waits for the record for a bounded time.
     pub fn withdraw_here(&self, id: &str) -> PeerReply {
-        let deadline = Instant::now() + WITHDRAW_TIME;
+        let deadline = self.now() + WITHDRAW_TIME;
         let mut core = self.core();
         if let Some(view) = core.finals.get(id) {
             return PeerReply::Job(view);
@@ -345,15 +343,11 @@
                 Some(Some(_)) => {}
                 _ => return PeerReply::Busy,
             }
-            let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() {
+            let Some(left) = left(&*self.os, deadline) else {
                 return PeerReply::Busy;
-            }
-            core = self
-                .changed
-                .wait_timeout(core, left)
-                .unwrap_or_else(|e| e.into_inner())
-                .0;
+            };
+            self.await_change(core, left);
+            core = self.core();
         }
     }
 
@@ -381,9 +375,9 @@
         if let Some(view) = self.view_here(id) {
             return Lookup::Job(view);
         }
-        let deadline = Instant::now() + LOOKUP_TIME;
+        let deadline = self.now() + LOOKUP_TIME;
         let request = PeerRequest::Status { id: id.to_string() };
-        if let Some(PeerReply::Job(view)) = self.ask_leader(&request, PEER_TIME) {
+        if let Some(PeerReply::Job(view)) = self.ask_leader(&request, PEER_TIME.duration()) {
             self.core().finals.note(id, view);
             return Lookup::Job(view);
         }
@@ -410,12 +404,11 @@
 
     /// What the state service knows. The order matters: a job's record is deleted in the same
     /// transaction that writes its final one, so whoever misses the first finds the second.
-    fn read_job(&self, id: &str, deadline: Instant) -> Result<Option<JobView>, StoreError> {
+    fn read_job(&self, id: &str, deadline: Moment) -> Result<Option<JobView>, StoreError> {
         let get = |key: &str| {
-            let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() {
+            let Some(left) = left(&*self.os, deadline) else {
                 return Err(StoreError::Refused("no time left".into()));
-            }
+            };
             self.store
                 .get_within(key, Urgency::Normal, READ_TIME.min(left))
         };
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -7,6 +7,7 @@
 use crate::jobs::rounds::CLAIMS_PREFIX;
 use crate::jobs::spec::Submission;
 use crate::node::Node;
+use crate::os::pause;
 use crate::state_store::{Change, StoreError, Urgency, from_value, to_value};
 use crate::time::{Micros, Moment};
 use std::time::Duration;
@@ -15,11 +16,11 @@
 /// The zone whose workers the last leader lost: a node there goes first.
 const HINT_KEY: &str = "hint";
 
-fn pause(low_ms: u64, high_ms: u64) {
-    std::thread::sleep(Duration::from_millis(fastrand::u64(low_ms..=high_ms)));
-}
-
 impl Node {
+    fn pause(&self, low_ms: u64, high_ms: u64) {
+        pause(&*self.os, low_ms, high_ms);
+    }
+
     fn hold_life(&self) -> Micros {
         Micros::from_millis(self.options.hold_ms)
     }
@@ -35,7 +36,7 @@
                     }
                     match take(
                         &self.store,
-                        &self.clock,
+                        &*self.os,
                         &self.settings.node,
                         self.hold_life(),
                     ) {
@@ -43,13 +44,13 @@
                         Ok(Take::Lost) => {}
                         Err(e) => {
                             log::debug!("lead not taken: {e}");
-                            pause(200, 500);
+                            self.pause(200, 500);
                         }
                     }
                 }
                 Err(e) => {
                     log::debug!("leader unknown: {e}");
-                    pause(200, 500);
+                    self.pause(200, 500);
                 }
             }
         }
@@ -66,7 +67,7 @@
         };
         if abstaining {
             // Long enough for the others, if there are any, to take it.
-            pause(1500, 2500);
+            self.pause(1500, 2500);
             return matches!(self.store.get(LEADER_KEY, Urgency::Lead), Ok(None));
         }
         let mut wait = 500 / (1 + knocks);
@@ -76,7 +77,7 @@
         {
             wait = 50;
         }
-        pause(wait, wait + 60);
+        self.pause(wait, wait + 60);
         true
     }
 
@@ -89,7 +90,7 @@
             // An earlier process of this node: it is dead, so its hold may end now.
             log::info!("ending the hold of an earlier process");
             if self.store.end_hold(r.permit).is_err() {
-                pause(100, 300);
+                self.pause(100, 300);
             }
             return;
         }
@@ -116,7 +117,7 @@
                 Err(StoreError::TooOld) => return,
                 Err(e) => {
                     log::debug!("watch on the leader: {e}");
-                    pause(200, 500);
+                    self.pause(200, 500);
                     return;
                 }
             }
@@ -175,9 +176,9 @@
             if self.store.end_hold(permit).is_ok() {
                 break;
             }
-            pause(50, 100);
+            self.pause(50, 100);
         }
-        pause(300, 600);
+        self.pause(300, 600);
     }
 
     /// Renews once if it is time; false when the lead is lost.
@@ -200,7 +201,7 @@
                 // An outage, or a refusal of this node alone: nobody can tell which. The node
                 // stops acting when the hold could have run out, and goes on if it did not.
                 log::debug!("hold not renewed: {e}");
-                pause(150, 300);
+                self.pause(150, 300);
                 true
             }
         }
@@ -215,10 +216,10 @@
             let core = self.core();
             if self.now() - *renewed < Micros::from_millis(100) && !core.step_down {
                 drop(core);
-                std::thread::sleep(wait.min(Duration::from_millis(500)));
+                self.os.sleep(wait.min(Duration::from_millis(500)));
             } else {
                 drop(core);
-                std::thread::sleep(Duration::from_millis(100));
+                self.os.sleep(Duration::from_millis(100));
             }
         }
     }
@@ -232,7 +233,7 @@
         }
         let skew = Micros::from_secs_f64(self.settings.settings.skew_ms / 500.0);
         let mut jobs_epoch = None;
-        cluster.wall_at_start = self.clock.wall();
+        cluster.wall_at_start = self.os.wall();
         // Roster and claims first: they tell what of a job may have started.
         for prefix in [FLEET_PREFIX, CLAIMS_PREFIX, "jobs/", "done/"] {
             let mut since: Option<String> = None;
@@ -247,14 +248,14 @@
                     Ok(page) => page,
                     Err(e) => {
                         log::debug!("reading {prefix}: {e}");
-                        pause(100, 300);
+                        self.pause(100, 300);
                         continue;
                     }
                 };
                 if prefix == "jobs/" {
                     jobs_epoch.get_or_insert(page.epoch);
                 }
-                let (now, wall) = (self.now(), self.clock.wall());
+                let (now, wall) = (self.now(), self.os.wall());
                 for row in &page.rows {
                     since = Some(row.key.clone());
                     let rest = &row.key[prefix.len()..];
@@ -316,17 +317,14 @@
                 match (&core.lead, &core.cluster) {
                     (Some(lead), Some(_)) => (lead.term, core.jobs_epoch),
                     _ => {
-                        let _unused = self
-                            .changed
-                            .wait_timeout(core, Duration::from_millis(500))
-                            .unwrap_or_else(|e| e.into_inner());
+                        self.await_change(core, Duration::from_millis(500));
                         continue;
                     }
                 }
             };
             match self.store.changes("jobs/", since, Micros::from_secs(10)) {
                 Ok(changes) => {
-                    let (now, wall) = (self.now(), self.clock.wall());
+                    let (now, wall) = (self.now(), self.os.wall());
                     let mut core = self.core();
                     let core = &mut *core;
                     let (Some(lead), Some(cluster)) = (&core.lead, &mut core.cluster) else {
@@ -360,7 +358,7 @@
                 }
                 Err(e) => {
                     log::debug!("watch on jobs: {e}");
-                    pause(200, 500);
+                    self.pause(200, 500);
                 }
             }
         }
@@ -374,11 +372,11 @@
                 .store
                 .range("jobs/", since.as_deref(), PAGE, Urgency::Normal)
             else {
-                pause(200, 500);
+                self.pause(200, 500);
                 return;
             };
             epoch.get_or_insert(page.epoch);
-            let (now, wall) = (self.now(), self.clock.wall());
+            let (now, wall) = (self.now(), self.os.wall());
             let mut core = self.core();
             let core = &mut *core;
             let (Some(lead), Some(cluster)) = (&core.lead, &mut core.cluster) else {
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -3,8 +3,9 @@
 mod edge;
 pub mod peer;
 
+use crate::os::Os;
 use crate::state_store::{Change, Commit, Guard, Store, StoreError, Urgency, from_value, to_value};
-use crate::time::{Clock, Micros, Moment, at_least};
+use crate::time::{Micros, Moment, at_least};
 use serde::{Deserialize, Serialize};
 
 pub const LEADER_KEY: &str = "leader";
@@ -54,7 +55,7 @@
 }
 
 /// Tries once to take the lead. Nothing is left behind when it fails.
-pub fn take(store: &Store, clock: &Clock, node: &str, life: Micros) -> Result<Take, StoreError> {
+pub fn take(store: &Store, os: &dyn Os, node: &str, life: Micros) -> Result<Take, StoreError> {
     let term_row = store.get(TERM_KEY, Urgency::Lead)?;
     let (term, term_stamp) = match &term_row {
         Some(row) => (
@@ -65,7 +66,7 @@
         ),
         None => (0, 0),
     };
-    let sent = clock.now();
+    let sent = os.now();
     let permit = store.new_hold(life)?;
     let record = LeaderRecord {
         node: node.to_string(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod leadership;
 pub mod logging;
 pub mod node;
+pub mod os;
 pub mod placement;
 pub mod settings;
 pub mod state_store;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
 use aspenreel::cli::{Cli, Command, ServeOptions};
 use aspenreel::node::Node;
+use aspenreel::os::System;
 use aspenreel::settings::Settings;
 use clap::Parser;
 use std::process::ExitCode;
@@ -24,8 +25,9 @@
         log::warn!("{warning}");
     }
     few_arenas();
-    let node = Arc::new(Node::new(settings, options));
-    node.run().map_err(|e| format!("cannot listen: {e}"))
+    let system = Arc::new(System::default());
+    let node = Arc::new(Node::new(settings, options, system.clone()));
+    node.run(system).map_err(|e| format!("cannot listen: {e}"))
 }
 
 /// One malloc arena for all threads: each further one would cost memory that small
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,20 +3,21 @@
 use crate::cli::ServeOptions;
 use crate::cluster::{Cluster, ClusterConfig};
 use crate::fleet::MachineType;
-use crate::http::client::Client;
 use crate::http::server::{Handler, Limits, Request, Response, serve};
 use crate::jobs::JobView;
 use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest, serve_peers};
 use crate::leadership::{Lead, LeaderRecord};
+use crate::os::{HttpClient, Os, Signal, System};
 use crate::settings::Settings;
 use crate::state_store::Store;
 use crate::state_store::bucket::TokenBucket;
-use crate::time::{Clock, Micros, Moment};
+use crate::time::{Micros, Moment};
 use crate::workers::edge::WorkerClients;
 use std::collections::{HashMap, VecDeque};
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicUsize};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 const TICK: Micros = Micros::from_millis(250);
 /// A timer that fires this late tells that the process has used up its share of the processor: no
@@ -95,17 +96,20 @@
     }
 }
 
+/// What one thread does.
+pub type Duty = Box<dyn FnOnce() + Send>;
+
 pub struct Node {
     pub settings: Settings,
     pub options: ServeOptions,
-    pub clock: Arc<Clock>,
+    pub os: Arc<dyn Os>,
     pub store: Store,
-    pub cloud: Client,
+    pub cloud: Arc<dyn HttpClient>,
     pub core: Mutex<Core>,
     /// Signalled when records are due and when they were written.
-    pub changed: Condvar,
+    pub changed: Arc<dyn Signal>,
     /// Signalled when orders may go straight to workers.
-    pub poked: Condvar,
+    pub poked: Arc<dyn Signal>,
     pub workers: WorkerClients,
     pub peers: HashMap<String, PeerClient>,
     pub submit_tokens: Mutex<TokenBucket>,
@@ -118,9 +122,8 @@
 }
 
 impl Node {
-    pub fn new(settings: Settings, options: ServeOptions) -> Node {
-        let clock = Arc::new(Clock::default());
-        let now = clock.now();
+    pub fn new(settings: Settings, options: ServeOptions, os: Arc<dyn Os>) -> Node {
+        let now = os.now();
         let nodes = settings.members.len() as f64 + 1.0;
         let site = &settings.settings;
         // What the leader's budget leaves is for submissions, shared among the nodes.
@@ -128,22 +131,18 @@
         let peers = settings
             .members
             .iter()
-            .map(|m| (m.node.clone(), PeerClient::new(m.peer_addr)))
+            .map(|m| (m.node.clone(), PeerClient::new(os.clone(), m.peer_addr)))
             .collect();
         Node {
             // The leader reads and writes most; the shares still stay below the limit together.
-            store: Store::new(
-                settings.endpoints.state,
-                site.state.rps / nodes,
-                clock.clone(),
-            ),
-            cloud: Client::new(settings.endpoints.cloud),
+            store: Store::new(settings.endpoints.state, site.state.rps / nodes, os.clone()),
+            cloud: os.http(settings.endpoints.cloud),
             core: Mutex::new(Core {
                 finals: Finals::new(site.quota.remembered()),
                 ..Core::default()
             }),
-            changed: Condvar::new(),
-            poked: Condvar::new(),
+            changed: os.signal(),
+            poked: os.signal(),
             workers: WorkerClients::default(),
             peers,
             submit_tokens: Mutex::new(TokenBucket::new(submit, submit.max(4.0), now)),
@@ -151,7 +150,7 @@
             catalog: Mutex::new(None),
             open: Arc::default(),
             alone: AtomicBool::new(false),
-            clock,
+            os,
             settings,
             options,
         }
@@ -162,7 +161,7 @@
     }
 
     pub fn now(&self) -> Moment {
-        self.clock.now()
+        self.os.now()
     }
 
     pub fn catalog(&self) -> Option<Arc<Vec<MachineType>>> {
@@ -191,8 +190,36 @@
         }
     }
 
+    /// Releases the main lock until something changed, or for so long.
+    pub fn await_change(&self, core: MutexGuard<'_, Core>, most: Duration) {
+        let ticket = self.changed.ticket();
+        drop(core);
+        self.changed.wait(ticket, most);
+    }
+
+    /// What each thread of a process does, for as long as it lives.
+    pub fn duties(self: &Arc<Self>) -> Vec<(&'static str, Duty)> {
+        let duty = |run: fn(&Node)| {
+            let node = self.clone();
+            Box::new(move || run(&node)) as Duty
+        };
+        let mut duties = vec![
+            ("catalog", duty(Node::catalog_loop)),
+            ("lead", duty(Node::lead_loop)),
+            ("rounds", duty(Node::rounds_loop)),
+            ("jobs", duty(Node::jobs_loop)),
+            ("fleet", duty(Node::fleet_loop)),
+            ("tick", duty(Node::tick_loop)),
+            ("company", duty(Node::company_loop)),
+        ];
+        for _ in 0..self.settings.settings.quota.direct_threads() {
+            duties.push(("direct", duty(Node::direct_loop)));
+        }
+        duties
+    }
+
     /// Starts every thread and answers users and workers until the process is killed.
-    pub fn run(self: Arc<Self>) -> std::io::Result<()> {
+    pub fn run(self: Arc<Self>, system: Arc<System>) -> std::io::Result<()> {
         let public = TcpListener::bind(self.settings.public_addr)?;
         let peers = TcpListener::bind(self.settings.peer_listen)?;
         log::info!(
@@ -201,45 +228,28 @@
             self.settings.public_addr,
             self.settings.peer_listen
         );
-        let spawn = |name: &str, work: Box<dyn FnOnce() + Send>| {
+        let spawn = |name: &str, duty: Duty| {
             std::thread::Builder::new()
                 .name(name.to_string())
                 .stack_size(512 * 1024)
-                .spawn(work)
+                .spawn(duty)
                 .map(drop)
         };
-        let node = self.clone();
-        spawn("catalog", Box::new(move || node.catalog_loop()))?;
-        let node = self.clone();
-        spawn("lead", Box::new(move || node.lead_loop()))?;
-        let node = self.clone();
-        spawn("rounds", Box::new(move || node.rounds_loop()))?;
-        let node = self.clone();
-        spawn("jobs", Box::new(move || node.jobs_loop()))?;
-        let node = self.clone();
-        spawn("fleet", Box::new(move || node.fleet_loop()))?;
-        let node = self.clone();
-        spawn("tick", Box::new(move || node.tick_loop()))?;
-        let node = self.clone();
-        spawn("company", Box::new(move || node.company_loop()))?;
-        let quota = self.settings.settings.quota.clone();
-        for _ in 0..quota.direct_threads() {
-            let node = self.clone();
-            spawn("direct", Box::new(move || node.direct_loop()))?;
+        for (name, duty) in self.duties() {
+            spawn(name, duty)?;
         }
+        let quota = self.settings.settings.quota.clone();
         let node = self.clone();
         let most = quota.peer_connections();
-        spawn(
-            "peers",
-            Box::new(move || serve_peers(peers, most, Arc::new(move |r| node.answer_peer(r)))),
-        )?;
+        let answer = Arc::new(move |r| node.answer_peer(r));
+        spawn("peers", Box::new(move || serve_peers(peers, most, answer)))?;
         let limits = Limits {
             connections: quota.connections(),
             threads: quota.pool_threads(),
             buffered: quota.buffered(),
         };
-        let (clock, open) = (self.clock.clone(), self.open.clone());
-        serve(public, self, clock, limits, open)
+        let open = self.open.clone();
+        serve(public, self, system, limits, open)
     }
 
     fn tick_loop(&self) {
@@ -250,7 +260,7 @@
         let (mut ticks, mut late, mut counted) = (0u32, 0u32, self.now());
         loop {
             let due = self.now() + TICK;
-            std::thread::sleep(TICK.duration());
+            self.os.sleep(TICK.duration());
             let behind = self.now() - due > LATE;
             ticks += 1;
             late += u32::from(behind);
@@ -285,7 +295,7 @@
         }
     }
 
-    fn answer_peer(&self, request: PeerRequest) -> PeerReply {
+    pub fn answer_peer(&self, request: PeerRequest) -> PeerReply {
         match request {
             PeerRequest::Status { id } => {
                 let mut core = self.core();
--- a/src/state_store/mod.rs
+++ b/src/state_store/mod.rs
@@ -4,8 +4,9 @@
 pub mod pages;
 
 use crate::http::cbor::{decode, encode};
-use crate::http::client::{CallError, Client};
-use crate::time::{Clock, Micros, Moment};
+use crate::http::client::CallError;
+use crate::os::{HttpClient, Os};
+use crate::time::{Micros, Moment};
 use bucket::TokenBucket;
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
@@ -128,8 +129,8 @@
 }
 
 pub struct Store {
-    client: Client,
-    clock: Arc<Clock>,
+    client: Arc<dyn HttpClient>,
+    os: Arc<dyn Os>,
     requests: Mutex<TokenBucket>,
     /// When it last answered, and when it last did not, in microseconds of this node's clock.
     last_answer: AtomicU64,
@@ -150,11 +151,11 @@
 
 impl Store {
     /// `rate`: this node's share of the requests a second.
-    pub fn new(addr: SocketAddr, rate: f64, clock: Arc<Clock>) -> Self {
-        let bucket = TokenBucket::new(rate, rate, clock.now());
+    pub fn new(addr: SocketAddr, rate: f64, os: Arc<dyn Os>) -> Self {
+        let bucket = TokenBucket::new(rate, rate, os.now());
         Store {
-            client: Client::new(addr),
-            clock,
+            client: os.http(addr),
+            os,
             requests: Mutex::new(bucket),
             last_answer: AtomicU64::new(0),
             last_silence: AtomicU64::new(0),
@@ -184,7 +185,7 @@
         urgency: Urgency,
         timeout: Duration,
     ) -> Result<(u16, Vec<u8>), StoreError> {
-        let now = self.clock.now();
+        let now = self.os.now();
         {
             let mut bucket = self.bucket();
             let granted = match urgency {
@@ -200,7 +201,7 @@
             }
         }
         let result = self.client.call(method, path, body, timeout);
-        let at = self.clock.now().0;
+        let at = self.os.now().0;
         match &result {
             Ok((503, _)) | Err(_) => self.last_silence.store(at, Ordering::Relaxed),
             Ok(_) => self.last_answer.store(at, Ordering::Relaxed),
