Nodes without a leader tell what is over or was never accepted; 200 for known jobs from peers

A cancellation of a job that is over got 503 while nobody led, though its final state could be read; in a model of takeovers now 200, and 404 for one that was never accepted. A peer that accepts says whether it was by this request: repeats through peers got 201.

--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -178,7 +178,8 @@
             let body = encode(&submission);
             let request = PeerRequest::Accept { body };
             match self.ask_any(&request, self.now() + LOOKUP_TIME) {
-                Some(PeerReply::Job(view)) => Some(short(201, &id, view.state)),
+                Some(PeerReply::Accepted) => Some(short(201, &id, ViewState::Queued)),
+                Some(PeerReply::Job(view)) => Some(short(200, &id, view.state)),
                 _ => None,
             }
         };
@@ -201,11 +202,7 @@
             return PeerReply::Busy;
         };
         match self.record(submission) {
-            Accepted::New => PeerReply::Job(JobView {
-                state: ViewState::Queued,
-                done: 0,
-                running: 0,
-            }),
+            Accepted::New => PeerReply::Accepted,
             Accepted::Known(view) => PeerReply::Job(view),
             Accepted::Refused | Accepted::Full => PeerReply::Busy,
         }
@@ -234,7 +231,7 @@
                 let left = left(&*self.os, deadline)?;
                 peer.call(request, PEER_TIME.duration().min(left)).ok()
             })
-            .find(|reply| matches!(reply, PeerReply::Job(_) | PeerReply::Absent))
+            .find(|reply| !matches!(reply, PeerReply::Busy))
     }
 
     /// Writes the job's record.
@@ -319,16 +316,16 @@
                 )
                 .unwrap_or(PeerReply::Busy);
         }
-        match reply {
-            PeerReply::Job(view) if view.is_final() => {
-                self.core().finals.note(id, view);
-                short(200, id, view.state)
-            }
-            PeerReply::Unknown => match self.read_job(id, self.now() + LOOKUP_TIME) {
-                Ok(Some(view)) if view.is_final() => short(200, id, view.state),
-                Ok(None) => Response::new(404, Vec::new()),
-                _ => Response::busy(RETRY_S),
-            },
+        if let PeerReply::Job(view) = reply
+            && view.is_final()
+        {
+            self.core().finals.note(id, view);
+            return short(200, id, view.state);
+        }
+        // Without a leader nothing is cancelled, but what is over or was never accepted can be told.
+        match self.lookup(id) {
+            Lookup::Job(view) if view.is_final() => short(200, id, view.state),
+            Lookup::Absent => Response::new(404, Vec::new()),
             _ => Response::busy(RETRY_S),
         }
     }
--- a/src/leadership/peer.rs
+++ b/src/leadership/peer.rs
@@ -36,6 +36,8 @@
     Absent,
     /// It can't be decided now.
     Busy,
+    /// The submission is accepted, by this request.
+    Accepted,
 }
 
 pub fn write_frame<T: BorshSerialize>(stream: &mut TcpStream, message: &T) -> std::io::Result<()> {
--- a/tests/model/main.rs
+++ b/tests/model/main.rs
@@ -12,10 +12,35 @@
 mod users;
 mod world;
 
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Condvar, Mutex};
 use world::{Setup, Summary, World};
 
+/// Room to play one model: whatever tests run at once, no more than there are processors.
+struct Room;
+
+static PLAYED: Mutex<usize> = Mutex::new(0);
+static ROOM: Condvar = Condvar::new();
+
+impl Room {
+    fn wait() -> Room {
+        let most = std::thread::available_parallelism().map_or(2, |n| n.get());
+        let mut played = sched::lock(&PLAYED);
+        while *played >= most {
+            played = ROOM.wait(played).unwrap_or_else(|e| e.into_inner());
+        }
+        *played += 1;
+        Room
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        *sched::lock(&PLAYED) -= 1;
+        ROOM.notify_one();
+    }
+}
+
 /// Plays a model with each seed, or with the one that `MODEL_SEED` names, several at once, and
 /// returns how each ended. No rule may break in any.
 #[track_caller]
@@ -35,6 +60,7 @@
         for _ in 0..workers.min(seeds.len()) {
             scope.spawn(|| {
                 while let Some(seed) = seeds.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let _room = Room::wait();
                     let w = World::new(*seed, setup.clone());
                     plan(&w, &mut fastrand::Rng::with_seed(*seed));
                     let end = w.finish();
--- a/tests/model/meetings.rs
+++ b/tests/model/meetings.rs
@@ -1,6 +1,6 @@
 //! Each meeting that the operators name, brought about on purpose, its times drawn by seeds.
 
-use crate::checker::JobPlan;
+use crate::checker::{JobPlan, Question, Told};
 use crate::play;
 use crate::world::{CANCEL_S, LEASE_S, Setup, World};
 use std::sync::Arc;
@@ -32,7 +32,8 @@
 
 /// The users of these jobs ask at all nodes at once whenever something becomes known.
 fn look_closely(w: &Arc<World>, ids: &[String]) {
-    for id in ids.iter().cloned() {
+    for id in ids {
+        let id = id.clone();
         // Their submissions create them; until then there is nobody to change.
         w.at(3.0, move |w| watch_closely(w, id));
     }
@@ -47,7 +48,8 @@
 }
 
 fn cancel_each(w: &Arc<World>, ids: &[String], from: f64, to: f64, rng: &mut fastrand::Rng) {
-    for id in ids.iter().cloned() {
+    for id in ids {
+        let id = id.clone();
         let at = from + rng.f64() * (to - from);
         w.at(at, move |w| w.user_cancels(&id));
     }
@@ -77,7 +79,8 @@
 
 /// Cancels each job some time after it was accepted.
 fn cancel_soon(w: &Arc<World>, ids: &[String], most_s: f64, rng: &mut fastrand::Rng) {
-    for id in ids.iter().cloned() {
+    for id in ids {
+        let id = id.clone();
         let wait = (rng.f64() * most_s * 1e6) as u64;
         w.at(3.0, move |w| cancel_once_known(w, id, wait));
     }
@@ -683,3 +686,90 @@
         assert!(end.leaders >= 3 && end.cancelled > 10, "{end:?}");
     }
 }
+
+/// Whoever leads, or nobody: each node tells by itself what can be known, and otherwise says at once
+/// when to come back.
+#[test]
+fn refusals_and_final_answers_during_a_takeover() {
+    play(SEEDS, &setup(), |w, rng| {
+        let mut plans = jobs_to_refuse();
+        let ended = JobPlan::new(900, 1, 1.0, 1.0);
+        let runs = JobPlan::new(901, 1, 1.0, 60.0);
+        w.submit(4.0, ended.clone());
+        w.submit(4.0, runs.clone());
+        let crash = 20.0 + rng.f64() * 3.0;
+        // Nobody leads until the lease of the killed leader has run out.
+        w.at(crash, |w| w.crash(w.leader_or_any(), 60.0));
+        plans.push((ended.clone(), 200, Some("done")));
+        plans.push((runs.clone(), 200, Some("queued")));
+        for k in 0..20 {
+            // Slowly enough for a node's share of the state service's requests.
+            let at = crash + 0.02 + 0.4 * f64::from(k) + 0.2 * rng.f64();
+            for (plan, status, state) in plans.clone() {
+                let n = rng.usize(0..3);
+                w.at(at, move |w| {
+                    w.state().checker.submitted(&plan);
+                    let id = plan.id.clone();
+                    w.insert_user(plan);
+                    if w.state().nodes[n].process.is_none() {
+                        return;
+                    }
+                    w.question(&id, Question::Submit, n, move |w, told| {
+                        expect(w, told, status, state);
+                    });
+                });
+            }
+            let (n, ended, runs) = (rng.usize(0..3), ended.id.clone(), runs.id.clone());
+            w.at(at, move |w| {
+                if w.state().nodes[n].process.is_none() {
+                    return;
+                }
+                let ask = |id: &str, question, status, state| {
+                    w.question(id, question, n, move |w, told| {
+                        expect(w, told, status, state)
+                    });
+                };
+                ask(&ended, Question::Cancel, 200, Some("done"));
+                ask(&ended, Question::Status, 200, Some("done"));
+                ask(&ended, Question::BadSubmit, 200, Some("done"));
+                ask(&runs, Question::BadSubmit, 200, None);
+                ask("run-999", Question::Cancel, 404, None);
+                ask("run-999", Question::Status, 404, None);
+                ask("run-800", Question::BadSubmit, 400, None);
+            });
+        }
+    });
+}
+
+fn expect(w: &Arc<World>, told: Option<Told>, status: u16, state: Option<&str>) {
+    let (told, text) = match told {
+        Some(t) => (Some((t.status, t.state.clone())), format!("{t:?}")),
+        None => (None, "no answer".into()),
+    };
+    let as_wanted = told.is_some_and(|(s, found)| {
+        // The job that goes on may be told as running or queued.
+        s == status && (state.is_none_or(|s| s == "queued" || found.as_deref() == Some(s)))
+    });
+    if !as_wanted {
+        let line = format!("wanted {status} {state:?}, got {text}");
+        w.state().checker.broken.push(line);
+    }
+}
+
+/// Submissions that no node may ever accept, and what they are told.
+fn jobs_to_refuse() -> Vec<(JobPlan, u16, Option<&'static str>)> {
+    let plan = |id: u32, edit: fn(&mut JobPlan)| {
+        let mut p = JobPlan::new(id, 1, 1.0, 5.0);
+        edit(&mut p);
+        (p, 422, None)
+    };
+    vec![
+        plan(800, |p| p.team = "nobody".into()),
+        plan(801, |p| p.cpus = 9.0),
+        plan(802, |p| p.zone = Some("north".into())),
+        plan(803, |p| {
+            p.team = "b".into();
+            p.cpus = 25.0;
+        }),
+    ]
+}
--- a/tests/model/users.rs
+++ b/tests/model/users.rs
@@ -130,24 +130,25 @@
     }
 
     pub fn user_submits(self: &Arc<Self>, plan: JobPlan) {
-        let now = self.now();
         let id = plan.id.clone();
-        {
-            let mut state = self.state();
-            state.checker.submitted(&plan);
-            let job = UserJob {
-                plan,
-                first_try: now,
-                polls: false,
-                close_looks: false,
-                cancels_at_end: false,
-                cancels: false,
-            };
-            state.users.entry(id.clone()).or_insert(job);
-        }
+        self.state().checker.submitted(&plan);
+        self.insert_user(plan);
         self.try_submit(&id);
     }
 
+    pub fn insert_user(&self, plan: JobPlan) {
+        let id = plan.id.clone();
+        let job = UserJob {
+            plan,
+            first_try: self.now(),
+            polls: false,
+            close_looks: false,
+            cancels_at_end: false,
+            cancels: false,
+        };
+        self.state().users.entry(id).or_insert(job);
+    }
+
     fn try_submit(self: &Arc<Self>, id: &str) {
         let (id, n) = (id.to_string(), self.any_node());
         self.question(&id.clone(), Question::Submit, n, move |w, told| {
