--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -11,8 +11,8 @@
 use crate::settings::{Objective, TeamSettings};
 use crate::state_store::pages::Pages;
 use crate::time::{Micros, Moment, WallTime, at_most};
-use crate::workers::Machine;
 use crate::workers::wire::TaskStatus;
+use crate::workers::{Machine, Wanted};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What an operator and the platform set.
@@ -40,7 +40,7 @@
 }
 
 /// Beside clock drift, allow for timers and for time between reading a clock and sending.
-const LEASE_MARGIN: Micros = Micros::from_millis(500);
+pub const LEASE_MARGIN: Micros = Micros::from_millis(500);
 
 /// Classes of jobs whose run times are learned.
 const MOST_CLASSES: usize = 1000;
@@ -190,6 +190,7 @@
             return;
         }
         job.outcome = Some(outcome);
+        job.deciding = Deciding::No;
         log::debug!(
             "{} of {}: {outcome:?}, {} tasks, first all placed {:?} s after acceptance",
             job.spec.id,
@@ -197,26 +198,23 @@
             job.spec.tasks,
             job.placed_at.map(|t| (t - job.accepted_at).as_secs_f64())
         );
-        let mut running = Vec::new();
-        for m in self.machines.values() {
-            for key in m
-                .attempts
-                .range((id, 0, 0)..=(id, u32::MAX, u64::MAX))
-                .map(|(k, _)| *k)
-            {
-                running.push((m.name.clone(), key));
-            }
-        }
-        for (machine, key) in running {
-            // Not even time to save: nobody has a use for what it does now.
-            if let Some(m) = self.machines.get_mut(&machine)
-                && let Some(a) = m.attempts.get_mut(&key)
-            {
-                m.rooms.set(None);
-                a.wanted = crate::workers::Wanted::Stop {
+        self.call_off(id);
+    }
+
+    /// Stops whatever there is of a job. Not even time to save: nobody has a use for what it does.
+    fn call_off(&mut self, id: JobId) {
+        for m in self.machines.values_mut() {
+            let own = (id, 0, 0)..=(id, u32::MAX, u64::MAX);
+            let mut any = false;
+            for (_, attempt) in m.attempts.range_mut(own) {
+                any = true;
+                attempt.wanted = Wanted::Stop {
                     leeway: Micros::ZERO,
                 };
-                self.poked.insert(machine);
+            }
+            if any {
+                m.rooms.set(None);
+                self.poked.insert(m.name.clone());
             }
         }
         self.dirty = true;
@@ -241,16 +239,21 @@
         WallTime(self.wall_at_start.0 + (now - self.started).0)
     }
 
-    /// From here on nothing of the job starts; it is cancelled once that is recorded.
+    /// From here on nothing of the job starts, and what runs is stopped: its user has no use for it,
+    /// whatever becomes of the record. It is cancelled once that is written.
     pub fn ask_cancel(&mut self, id: &str) -> bool {
         let Some(job_id) = self.jobs.find(id) else {
             return false;
         };
         if let Some(job) = self.jobs.table.get_mut(&job_id)
             && job.outcome.is_none()
+            && !job.complete()
         {
-            job.cancel_asked = true;
+            let first = !std::mem::replace(&mut job.cancel_asked, true);
             self.urgent_rounds = true;
+            if first {
+                self.call_off(job_id);
+            }
         }
         true
     }
@@ -318,6 +321,7 @@
         for name in std::mem::take(&mut self.unseen) {
             if !self.machines.contains_key(&name) {
                 self.fleet.roster.remove(&name);
+                self.old_records.remove(&name);
             }
         }
         self.released = true;
@@ -453,7 +457,7 @@
             }
             for (key, a) in m.attempts.iter().filter(|(_, a)| a.holds()) {
                 let state = match (a.wanted, a.status) {
-                    (crate::workers::Wanted::Stop { .. }, _) => "stopping",
+                    (Wanted::Stop { .. }, _) => "stopping",
                     (_, None) => "starting",
                     (_, Some(TaskStatus::Fetching)) => "fetching",
                     (_, Some(TaskStatus::Running)) => "running",
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -530,6 +530,7 @@
                 // It stopped by itself, and everything on it with it.
                 log::info!("machine {}: failed", l.name);
                 m.lost = true;
+                m.session_over = true;
                 m.returning = true;
                 self.end_session(&l.name);
             }
@@ -602,13 +603,12 @@
 
     /// Sees to it that a machine is on the roster; true if it surely is already.
     pub fn enroll(&mut self, name: &str, now: Moment) -> bool {
-        if self.fleet.roster.contains(name) {
-            return self.unseen.contains(name) || self.old_records.contains_key(name);
+        if !self.fleet.roster.contains(name) {
+            let at = self.wall(now).0;
+            self.fleet.roster.put(name, at);
+            self.urgent_rounds = true;
         }
-        let at = self.wall(now).0;
-        self.fleet.roster.put(name, at);
-        self.urgent_rounds = true;
-        false
+        self.fleet.roster.is_stored(name)
     }
 
     /// Pages of the roster that differ from what is stored; without `tidy` only those with new
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -15,6 +15,38 @@
 /// New machines are written down at most once in so many tokens' time.
 const ROSTER_TOKENS: f64 = 5.0;
 
+/// Whether the record says that no more jobs are accepted.
+#[derive(Debug, Default)]
+pub struct Fullness {
+    pub term: u64,
+    pub told: bool,
+    /// The key's revision, 0 while it is absent.
+    pub stamp: u64,
+    /// What was written last without an answer. It is written until it is known: the opposite, written
+    /// over it, could be undone by it, and no node would accept anything any more.
+    pub in_doubt: Option<bool>,
+}
+
+impl Fullness {
+    /// What is to be written now, if anything.
+    pub fn next(&self, is_full: bool) -> Option<bool> {
+        self.in_doubt.or((is_full != self.told).then_some(is_full))
+    }
+
+    pub fn known(&mut self, told: bool, stamp: u64) {
+        if told != self.told {
+            log::warn!(
+                "{}",
+                match told {
+                    true => "jobs take all the memory they may: no more are accepted",
+                    false => "jobs are accepted again",
+                }
+            );
+        }
+        (self.told, self.stamp, self.in_doubt) = (told, stamp, None);
+    }
+}
+
 impl Node {
     pub fn rounds_loop(&self) {
         let site = &self.settings.settings.state;
@@ -26,8 +58,7 @@
         // Machines come up one by one: they share pages, and leave most of the tokens to claims.
         let roster_every = Micros::from_secs_f64(ROSTER_TOKENS / rate);
         let mut next_roster = self.now();
-        // The term under which, and whether, no more jobs are accepted.
-        let mut full = (0, false);
+        let mut fullness = Fullness::default();
         loop {
             self.os.sleep(GATHER);
             let now = self.now();
@@ -39,15 +70,16 @@
                 };
                 let guard = lead.guard();
                 let (term, permit) = (lead.term, lead.permit);
-                if full.0 != term {
-                    full = (term, false);
+                if fullness.term != term {
+                    fullness = Fullness {
+                        term,
+                        ..Fullness::default()
+                    };
                 }
-                let is_full = cluster.is_full(full.1);
-                if is_full != full.1 {
+                let is_full = cluster.is_full(fullness.told);
+                if let Some(target) = fullness.next(is_full) {
                     drop(core);
-                    if self.tell_full(&guard, permit, is_full) {
-                        full.1 = is_full;
-                    }
+                    self.tell_full(&guard, permit, &mut fullness, target);
                     continue;
                 }
                 let mut left = tokens.available(now).max(0.0) as usize;
@@ -129,15 +161,8 @@
     }
 
     /// Writes that no more jobs are to be accepted, or that they are again.
-    fn tell_full(&self, guard: &Guard, permit: u64, is_full: bool) -> bool {
-        log::warn!(
-            "{}",
-            match is_full {
-                true => "jobs take all the memory they may: no more are accepted",
-                false => "jobs are accepted again",
-            }
-        );
-        let change = match is_full {
+    fn tell_full(&self, guard: &Guard, permit: u64, fullness: &mut Fullness, target: bool) {
+        let change = match target {
             true => Change::Write {
                 write: FULL_KEY.into(),
                 data: to_value(&true),
@@ -145,10 +170,21 @@
             },
             false => Change::delete(FULL_KEY),
         };
-        let told = self
-            .store
-            .multi(std::slice::from_ref(guard), &[change], Urgency::Granted);
-        matches!(told, Ok(Commit::Done { .. }))
+        let guards = [guard.clone(), Guard::new(FULL_KEY, fullness.stamp)];
+        match self.store.multi(&guards, &[change], Urgency::Granted) {
+            Ok(Commit::Done { epoch }) => fullness.known(target, if target { epoch } else { 0 }),
+            Ok(Commit::Conflict { failed }) if failed == [FULL_KEY] => {
+                // One without an answer was carried out.
+                if let Ok(row) = self.store.get(FULL_KEY, Urgency::Normal) {
+                    fullness.known(row.is_some(), row.map_or(0, |r| r.stamp));
+                }
+            }
+            Ok(Commit::Conflict { .. }) | Err(StoreError::Refused(_)) => {}
+            Err(e) => {
+                log::debug!("not told whether jobs are accepted: {e}");
+                fullness.in_doubt = Some(target);
+            }
+        }
     }
 
     /// Does something with what this node knows as the leader of that term. While an answer was on
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -4,7 +4,7 @@
 //! anybody outside. A job is final (done, cancelled) once that is recorded, never before.
 
 pub mod doneset;
-mod edge;
+pub mod edge;
 pub mod rounds;
 pub mod spec;
 pub mod users;
@@ -185,7 +185,7 @@
 
     /// Tasks that could start now, if there were a place.
     pub fn ready(&self) -> u32 {
-        if self.cancel_asked || self.outcome.is_some() {
+        if self.is_called_off() {
             return 0;
         }
         self.unbound() - self.held()
@@ -211,6 +211,11 @@
         }
     }
 
+    /// It is cancelled, is asked to be, or is done: nothing of it may go on.
+    pub fn is_called_off(&self) -> bool {
+        self.cancel_asked || self.outcome.is_some()
+    }
+
     /// Some task of it has a place, or had one for long enough.
     pub fn begun(&self) -> bool {
         self.bound_attempts > 0 || self.begun || !self.done.is_empty()
@@ -220,9 +225,17 @@
         self.bound_attempts > 0
     }
 
-    /// Attempts that take of the team's limit, or may do so.
-    pub fn taking(&self) -> u32 {
-        self.bound_attempts + self.held()
+    /// Attempts that are bound to machines.
+    pub fn bound_attempts(&self) -> u32 {
+        self.bound_attempts
+    }
+
+    /// Tasks that a machine not seen yet may run, done ones as well: an order of an earlier term may
+    /// still start them there once more.
+    pub fn maybe_unseen(&self) -> u32 {
+        (0..self.held_below)
+            .filter(|t| !self.bound.contains_key(t))
+            .count() as u32
     }
 
     /// Settles a task as done: true the first time.
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -74,6 +74,9 @@
             .table
             .iter()
             .filter(|(_, j)| j.outcome.is_none() && (j.complete() || j.cancel_asked))
+            // A start that is under way would come after the cancellation is confirmed. Its answer
+            // comes soon, or the call is given up.
+            .filter(|(id, j)| j.complete() || !self.starts_under_way(**id))
             .map(|(id, j)| {
                 // A job whose tasks are all done when it is withdrawn is done.
                 let outcome = if j.complete() {
@@ -81,8 +84,7 @@
                 } else {
                     Outcome::Cancelled
                 };
-                if j.complete()
-                    && self.leaves_nothing(*id, j)
+                if self.leaves_nothing(*id, j)
                     && let Some(write) = retirement(*id, j, outcome, txn_ops)
                 {
                     return write;
@@ -174,10 +176,18 @@
     /// A start without an answer may still arrive: its attempt must not be cleared, so its job
     /// stays known.
     fn has_open_starts(&self, id: JobId) -> bool {
+        self.any_start(id, |d| d != Direct::Settled)
+    }
+
+    fn starts_under_way(&self, id: JobId) -> bool {
+        self.any_start(id, |d| d == Direct::InFlight)
+    }
+
+    fn any_start(&self, id: JobId, is: impl Fn(Direct) -> bool) -> bool {
         self.machines
             .values()
             .flat_map(|m| m.attempts.range((id, 0, 0)..=(id, u32::MAX, u64::MAX)))
-            .any(|(_, a)| a.direct != Direct::Settled)
+            .any(|(_, a)| is(a.direct))
     }
 
     /// These writes are about to be sent.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -57,6 +57,15 @@
         }
     }
 
+    /// The smaller of both, for each resource.
+    pub fn at_most(self, o: Room) -> Room {
+        Room {
+            cpu: self.cpu.min(o.cpu),
+            gpu: self.gpu.min(o.gpu),
+            ram: self.ram.min(o.ram),
+        }
+    }
+
     pub fn by(self, n: i64) -> Room {
         Room {
             cpu: self.cpu * n,
@@ -215,14 +224,43 @@
         (free, stopping)
     }
 
-    /// What each team's tasks take, counting what unseen machines may still run.
+    /// What each team's tasks take, counting what unseen machines may still run: whatever may be
+    /// there, but no more than they can hold, since a worker refuses what doesn't fit.
     fn team_use(&self) -> Vec<Room> {
         let mut used = vec![Room::default(); self.config.teams.len()];
+        let mut unseen = used.clone();
         for job in self.jobs.table.values() {
             let Some(team) = job.team else { continue };
-            used[team] = used[team].plus(job.spec.need.by(i64::from(job.taking())));
+            let need = job.spec.need;
+            used[team] = used[team].plus(need.by(i64::from(job.bound_attempts())));
+            if job.held_below > 0 {
+                unseen[team] = unseen[team].plus(need.by(i64::from(job.maybe_unseen())));
+            }
         }
-        used
+        let most = self.unseen_room();
+        let with_unseen = |(used, unseen): (&Room, Room)| {
+            used.plus(most.map_or(unseen, |most| unseen.at_most(most)))
+        };
+        used.iter().zip(unseen).map(with_unseen).collect()
+    }
+
+    /// What all unseen machines together have; None if nobody knows.
+    fn unseen_room(&self) -> Option<Room> {
+        if self.claims_lost {
+            return None;
+        }
+        let types = self.fleet.catalog.iter().map(|t| t.room);
+        let largest = types.reduce(|a, b| Room {
+            cpu: a.cpu.max(b.cpu),
+            gpu: a.gpu.max(b.gpu),
+            ram: a.ram.max(b.ram),
+        })?;
+        let room = |name: &String| match self.machines.get(name) {
+            Some(m) if m.total.cpu > 0 => m.total,
+            _ => largest,
+        };
+        let all = self.unseen.iter().map(room);
+        Some(all.fold(Room::default(), Room::plus))
     }
 
     /// What each team may still add. Memory isn't limited.
@@ -293,9 +331,6 @@
     }
 
     pub fn usable(&self, m: &Machine, now: Moment) -> bool {
-        let fresh = m
-            .last_report
-            .is_some_and(|t| now - t < self.config.report.scaled(2.0));
         m.counted_in
             && m.recorded
             && m.doubt.is_none()
@@ -303,7 +338,7 @@
             && !m.returning
             && !m.faulty
             && !m.recalled
-            && fresh
+            && m.checks_in(self.config.report, now)
     }
 
     /// A pass, if something changed and the last one was long enough ago. A pass looks at every
@@ -508,11 +543,16 @@
     }
 
     fn zone_allowed(job: &Job, zone: &str, zones: &BTreeMap<String, u32>) -> bool {
-        if job.spec.one_zone && zones.keys().any(|z| z != zone) {
+        if !job.spec.one_zone && !job.spec.spread {
+            return true;
+        }
+        // What an unseen machine may run may be in any zone.
+        let unseen = job.maybe_unseen();
+        if job.spec.one_zone && (unseen > 0 || zones.keys().any(|z| z != zone)) {
             return false;
         }
         let most = job.spec.tasks.div_ceil(2);
-        !job.spec.spread || zones.get(zone).copied().unwrap_or(0) < most
+        !job.spec.spread || zones.get(zone).copied().unwrap_or(0) + unseen < most
     }
 
     /// The best fit among a few drawn, or among all if none of them fits.
--- a/src/state_store/pages.rs
+++ b/src/state_store/pages.rs
@@ -14,7 +14,8 @@
 #[derive(Debug)]
 struct Page<V> {
     stamp: u64,
-    entries: BTreeMap<String, V>,
+    /// With the count of the change that set them.
+    entries: BTreeMap<String, (V, u64)>,
     /// Counts changes; what was written is known by the count it carries.
     version: u64,
     /// The last change that somebody waits for.
@@ -54,7 +55,7 @@
         }
         let page = Page {
             stamp,
-            entries: entries.into_iter().collect(),
+            entries: entries.into_iter().map(|(k, v)| (k, (v, 0))).collect(),
             version: 0,
             awaited: 0,
             stored: 0,
@@ -84,9 +85,9 @@
             awaited: 0,
             stored: 0,
         });
-        page.entries.insert(key.to_string(), value);
         page.version += 1;
         page.awaited = page.version;
+        page.entries.insert(key.to_string(), (value, page.version));
     }
 
     /// Drops an entry; its page may be written when there is time.
@@ -105,7 +106,13 @@
 
     pub fn get(&self, key: &str) -> Option<&V> {
         let page = self.pages.get(self.index.get(key)?)?;
-        page.entries.get(key)
+        page.entries.get(key).map(|(value, _)| value)
+    }
+
+    /// True if the entry, as it is, is surely on record.
+    pub fn is_stored(&self, key: &str) -> bool {
+        let page = self.index.get(key).and_then(|n| self.pages.get(n));
+        page.is_some_and(|p| p.entries.get(key).is_some_and(|(_, set)| *set <= p.stored))
     }
 
     pub fn keys(&self) -> impl Iterator<Item = &String> {
@@ -124,7 +131,7 @@
                 entries: p
                     .entries
                     .iter()
-                    .map(|(k, v)| (k.clone(), v.clone()))
+                    .map(|(k, (v, _))| (k.clone(), v.clone()))
                     .collect(),
             })
             .collect()
--- a/src/workers/direct.rs
+++ b/src/workers/direct.rs
@@ -54,12 +54,16 @@
     }
 
     fn direct_call(&mut self, name: &str, now: Moment) -> Option<DirectCall> {
-        let fresh = self.config.report.scaled(2.0);
+        let report = self.config.report;
         let machine = self.machines.get_mut(name)?;
-        let heard = machine.last_report.is_some_and(|t| now - t < fresh);
+        let heard = machine
+            .last_report
+            .is_some_and(|t| now - t < report.scaled(2.0));
         if machine.calling || machine.lost || !heard {
             return None;
         }
+        // Stops go to whoever answers; starts only where the lease is known to last.
+        let starts_here = machine.checks_in(report, now);
         if let Some(doubt) = &mut machine.doubt {
             if doubt.probe_at > now {
                 return None;
@@ -91,10 +95,10 @@
                 (None, Wanted::Run)
                     if key.1 < job.claimed
                         && machine.recorded
+                        && starts_here
                         && attempt.sent.is_none()
                         && attempt.direct == Direct::Settled
-                        && !job.cancel_asked
-                        && job.outcome.is_none() =>
+                        && !job.is_called_off() =>
                 {
                     Verb::Run
                 }
@@ -178,7 +182,7 @@
         };
         machine.calling = false;
         let settled = match result {
-            DirectResult::Unknown => Direct::Uncertain,
+            DirectResult::Unknown => Direct::Uncertain { since: call.began },
             _ => Direct::Settled,
         };
         let lost = matches!(result, DirectResult::Unknown | DirectResult::Unreached);
@@ -191,6 +195,7 @@
                     && r.session == machine.session =>
             {
                 self.dirty |= machine.doubt.take().is_some();
+                machine.answered_from = machine.answered_from.max(Some(call.began));
             }
             _ => {}
         }
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -5,10 +5,10 @@
 pub mod edge;
 pub mod wire;
 
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, LEASE_MARGIN};
 use crate::jobs::JobId;
 use crate::placement::Room;
-use crate::time::{Micros, Moment};
+use crate::time::{Micros, Moment, at_most};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use wire::{Order, Report, TaskStatus, Verb};
@@ -28,10 +28,12 @@
     /// None is under way.
     Settled,
     InFlight,
-    /// No answer came. The network may hold the order back and deliver it at any time while
-    /// token and session match: nothing but the session's end frees the task for good, and the
-    /// attempt is never cleared, since a start after `clear` would run it again.
-    Uncertain,
+    /// No answer came to a call that began then. The network may hold the order back and deliver it
+    /// while token and session match: nothing but the session's end frees the task for good, and
+    /// the attempt is never cleared, since a start after `clear` would run it again.
+    Uncertain {
+        since: Moment,
+    },
 }
 
 /// One attempt of a task on one machine, in one session.
@@ -132,7 +134,10 @@
     pub counted_in: bool,
     /// Its lease ran out without a report: nothing is on it.
     pub lost: bool,
-    /// Nothing of an earlier term can be on it, though it may not be counted in.
+    /// Its lease ran out under this term, or it stopped for good: nothing of an earlier term can be
+    /// on it, though it may not be counted in. A larger session in a report doesn't prove that: the
+    /// smaller one may be known from a late copy only, and orders of the last leader for the larger
+    /// one may be on their way.
     pub session_over: bool,
     /// It is on the roster in the state service: tasks may start here.
     pub recorded: bool,
@@ -143,6 +148,11 @@
     /// The lease can't have been renewed by anyone after this.
     pub lease_from: Moment,
     pub last_report: Option<Moment>,
+    /// When it last checked in. Direct answers prove neither that its lease is renewed nor that it
+    /// reaches anybody: a machine that only answers loses one session after the other.
+    pub last_check_in: Option<Moment>,
+    /// When the last direct call that it answered began.
+    pub answered_from: Option<Moment>,
     pub recalled: bool,
     /// When the cloud takes it away, as last told.
     pub recall_at: Option<Moment>,
@@ -192,6 +202,8 @@
             doubt: None,
             lease_from: now,
             last_report: None,
+            last_check_in: None,
+            answered_from: None,
             recalled: false,
             recall_at: None,
             attempts: BTreeMap::new(),
@@ -210,6 +222,12 @@
         }
     }
 
+    /// True if it checked in lately, in the session that it was last seen in.
+    pub fn checks_in(&self, report: Micros, now: Moment) -> bool {
+        let fresh = |t: Moment| now - t < report.scaled(2.0);
+        self.last_check_in.is_some_and(fresh) && self.checked.0 == self.session
+    }
+
     pub fn busy(&self) -> bool {
         self.attempts.values().any(|a| a.holds()) || self.ghosts.iter().any(|g| !g.exited)
     }
@@ -287,11 +305,9 @@
             machine.exists_since = self.old_records.get(&report.machine).copied();
             self.machines.insert(report.machine.clone(), machine);
         }
-        if !self.machines[&report.machine].recorded {
-            let recorded = self.enroll(&report.machine, now);
-            if let Some(machine) = self.machines.get_mut(&report.machine) {
-                machine.recorded = recorded;
-            }
+        let recorded = self.enroll(&report.machine, now);
+        if let Some(machine) = self.machines.get_mut(&report.machine) {
+            machine.recorded = recorded;
         }
         let Some(machine) = self.machines.get_mut(&report.machine) else {
             return CheckIn::Stale;
@@ -305,7 +321,10 @@
             // A copy: it renews nothing, and doesn't prove that its sender is alive.
             return CheckIn::Stale;
         }
+        // It may take work again from here on.
+        self.dirty |= !machine.checks_in(self.config.report, now);
         machine.checked = seen;
+        machine.last_check_in = Some(now);
         machine.lease_from = now;
         if (report.session, report.tick) > (machine.session, machine.tick) {
             self.take_in(report, true, now);
@@ -451,7 +470,7 @@
             }
             let unfinished = task.status != TaskStatus::Exited;
             if unfinished
-                && (job.outcome.is_some() || job.done.contains(number))
+                && (job.is_called_off() || job.done.contains(number))
                 && attempt.wanted == Wanted::Run
             {
                 attempt.wanted = Wanted::Stop {
@@ -506,6 +525,22 @@
             .copied()
             .collect();
         for key in absent {
+            let Some(attempt) = machine.attempts.get(&key) else {
+                continue;
+            };
+            // A direct start without an answer, long after the machine answered a later call: what
+            // the network held back came when the way was free again, so this one never will.
+            // Without an end, a cancelled job would keep its place here.
+            let span = at_most(self.config.lease) + LEASE_MARGIN;
+            if let Direct::Uncertain { since } = attempt.direct
+                && attempt.wanted != Wanted::Run
+                && machine
+                    .answered_from
+                    .is_some_and(|t| t > since && now - t > span)
+                && let Some(attempt) = machine.attempts.get_mut(&key)
+            {
+                attempt.direct = Direct::Settled;
+            }
             let Some(attempt) = machine.attempts.get(&key) else {
                 continue;
             };
@@ -551,7 +586,6 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
-        machine.session_over = true;
         machine.rooms.set(None);
         machine.ghosts.clear();
         for (key, attempt) in std::mem::take(&mut machine.attempts) {
@@ -577,6 +611,7 @@
             if let Some(machine) = self.machines.get_mut(&name) {
                 log::info!("machine {name}: lease over");
                 machine.lost = true;
+                machine.session_over = true;
                 machine.idle_since = None;
             }
             self.end_session(&name);
@@ -640,7 +675,7 @@
                     orders.push(order(Verb::Stop, Some(leeway.as_secs_f64())));
                 }
                 (None, Wanted::Run) => {
-                    if job.cancel_asked || job.outcome.is_some() {
+                    if job.is_called_off() {
                         if attempt.sent.is_none() && attempt.direct == Direct::Settled {
                             dropped.push(*key);
                         } else {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -955,3 +955,184 @@
     w.at(6.4).note("the fourth was written").view("run-1");
     assert_snapshot!(w.log);
 }
+
+/// A late copy is the first that a new leader hears of a machine; then the machine itself reports, in
+/// its next session, which began under the last leader. An order of that one may still be on its way
+/// to this session: the task is held until the machine is counted in.
+#[test]
+fn a_copy_of_an_earlier_session_frees_nothing() {
+    let mut w = World::new(5, one_team());
+    w.recorded("big-east-1", -60.0);
+    w.old_job(submission("run-1", |s| s.pieces = 1));
+    w.at(0.5).check_in("big-east-2", &[]);
+    let copy = w.report("big-east-1", 4, 1, &[]);
+    let next_session = w.report("big-east-1", 4, 2, &[]);
+    w.at(1.0).send(&copy).bound();
+    w.at(2.0).send(&next_session).bound();
+    w.at(3.0).check_in("big-east-2", &[]).bound();
+    let counted_in = w.report("big-east-1", 5, 2, &["run-1/0#4.7 running"]);
+    w.at(4.0).send(&counted_in).bound();
+    assert_snapshot!(w.log);
+}
+
+/// A machine of the last leader's roster stays silent for a lease, and its entry goes. When it is back
+/// it is written down anew before anything starts there, however often it reports meanwhile: else a
+/// next leader would not know that it may hold tasks.
+#[test]
+fn a_machine_that_is_back_waits_for_its_record() {
+    let mut w = World::new(5, one_team());
+    w.recorded("big-east-1", -60.0);
+    w.tick(21.0);
+    w.record_fleet();
+    w.job(submission("run-1", |s| s.pieces = 1));
+    let due = |w: &World| w.cluster.due_roster(false).len();
+    for t in [22.0, 23.0, 24.0] {
+        let report = w.report("big-east-1", 5, 2, &[]);
+        w.cluster.check_in(&report, at(t));
+        let recorded = w.cluster.machines["big-east-1"].recorded;
+        let pages = due(&w);
+        w.at(t).note(&format!(
+            "reports; recorded: {recorded}, pages due: {pages}"
+        ));
+    }
+    w.record_fleet();
+    let report = w.report("big-east-1", 5, 2, &[]);
+    w.at(25.0).send(&report).bound();
+    assert_snapshot!(w.log);
+}
+
+/// A machine that reaches nobody still answers direct calls, while its sessions end one after the
+/// other: its answers bring it no work. Stops go there all the same.
+#[test]
+fn a_mute_machine_gets_no_work() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.job(submission("run-1", |s| s.pieces = 1));
+    w.at(3.0).check_in("big-east-1", &[]);
+    w.at(4.0).check_in("big-east-1", &["run-1/0#2.1 running"]);
+    w.at(9.9).cluster.ask_cancel("run-1");
+    w.direct(|w| DirectResult::Report(w.report("big-east-1", 2, 1, &["run-1/0#2.1 stopped"])));
+    w.at(10.2).job(submission("run-2", |s| s.pieces = 1));
+    w.tick(10.5).direct(|_| DirectResult::Unknown).bound();
+    w.at(12.0).check_in("big-east-1", &[]).bound();
+    assert_snapshot!(w.log);
+}
+
+/// At a takeover a team's limit counts what unseen machines may run, tasks that are done as well (an
+/// order of the last leader may start them once more), but no more than these machines hold.
+#[test]
+fn limits_count_what_unseen_machines_can_hold() {
+    let mut w = World::new(5, vec![team("a", 40.0, 40.0)]);
+    w.recorded("small-east-9", -1.0);
+    w.old_job(submission("run-1", |s| s.pieces = 3));
+    w.cluster.load_done("run-1", 0, &done_record("0-1"), 50);
+    w.job(submission("run-2", |s| s.pieces = 10));
+    w.check_in("big-east-1", &[]);
+    w.at(1.0).check_in("big-east-1", &[]).bound();
+    let old = w.report("small-east-9", 4, 1, &[]);
+    w.note("the unseen machine turns out to be a small one: 8 CPUs");
+    w.at(2.0).send(&old);
+    w.at(3.0).check_in("big-east-2", &[]);
+    w.at(4.0).check_in("big-east-2", &[]).bound();
+    assert_snapshot!(w.log);
+}
+
+fn done_record(set: &str) -> aspenreel::jobs::DoneRecord {
+    aspenreel::jobs::DoneRecord {
+        state: None,
+        set: set.into(),
+    }
+}
+
+/// What an unseen machine may run of a job may be in any zone: a job that must be in one zone waits,
+/// and of one that is spread as many may start as in the worst case.
+#[test]
+fn zones_count_what_unseen_machines_may_run() {
+    let mut w = World::new(5, one_team());
+    w.recorded("small-west-9", -1.0);
+    for (id, one_zone) in [("run-1", true), ("run-2", false)] {
+        w.accepted(
+            submission(id, |s| {
+                s.pieces = 6;
+                s.same_place = one_zone;
+                s.spread = !one_zone;
+            }),
+            2,
+        );
+    }
+    w.check_in("big-east-1", &[]);
+    w.at(1.0).check_in("big-east-1", &[]).bound();
+    let seen = w.report("small-west-9", 5, 1, &["run-1/0#4.1 running"]);
+    w.at(2.0).send(&seen);
+    w.at(3.0).check_in("big-east-1", &[]).bound();
+    assert_snapshot!(w.log);
+}
+
+/// From the moment a user asks for it, a cancelled job's tasks are stopped and nothing of it starts. It
+/// is recorded once no start of it is under way, since that would come after the user was told.
+#[test]
+fn a_cancellation_waits_for_starts_under_way() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.at(0.5).job(submission("run-1", |s| s.pieces = 2));
+    w.tick(1.0);
+    let call = w.cluster.next_direct(at(1.0)).unwrap();
+    w.note("a direct call with its starts is under way");
+    w.cluster.ask_cancel("run-1");
+    w.at(1.1).round(true);
+    let report = w.report(
+        "big-east-1",
+        2,
+        1,
+        &["run-1/0#2.1 fetching", "run-1/1#2.2 fetching"],
+    );
+    w.cluster
+        .direct_done(&call, DirectResult::Report(report), at(1.2));
+    w.at(1.2).note("answered").round(true).view("run-1");
+    w.direct(|w| {
+        let stopped = ["run-1/0#2.1 stopped", "run-1/1#2.2 stopped"];
+        DirectResult::Report(w.report("big-east-1", 2, 1, &stopped))
+    });
+    w.at(2.0).round(true);
+    w.job(submission("run-2", |s| s.pieces = 1));
+    w.cluster.ask_cancel("run-2");
+    w.note("run-2 is cancelled before anything of it starts")
+        .round(true);
+    assert_snapshot!(w.log);
+}
+
+/// A start got no answer and was never delivered, its job is cancelled, and the machine is well: once
+/// it has answered a later call and a lease has passed, the start will not come any more. Else the
+/// cancelled job would keep its place there for good.
+#[test]
+fn an_undelivered_start_has_an_end() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.at(0.5).job(submission("run-1", |s| s.pieces = 1));
+    w.tick(1.0).direct(|_| DirectResult::Unknown);
+    w.cluster.ask_cancel("run-1");
+    w.at(1.1).round(true);
+    w.at(4.0).check_in("big-east-1", &[]);
+    w.direct(|w| DirectResult::Report(w.report("big-east-1", 2, 1, &[])));
+    for t in [7.0, 15.0, 23.0] {
+        w.at(t).check_in("big-east-1", &[]).bound();
+    }
+    w.at(26.0).check_in("big-east-1", &[]).bound().round(true);
+    assert_snapshot!(w.log);
+}
+
+/// The mark that no more jobs are accepted is written until that is known, before its opposite is: a
+/// late one would undo it, and nobody would accept anything for as long as this leader leads.
+#[test]
+fn the_mark_of_being_full_is_never_in_doubt_for_long() {
+    let mut mark = aspenreel::jobs::edge::Fullness::default();
+    assert_eq!((mark.next(false), mark.next(true)), (None, Some(true)));
+    mark.in_doubt = Some(true);
+    assert_eq!(mark.next(false), Some(true));
+    mark.known(true, 7);
+    assert_eq!((mark.next(true), mark.next(false)), (None, Some(false)));
+    mark.in_doubt = Some(false);
+    assert_eq!(mark.next(true), Some(false));
+    mark.known(false, 0);
+    assert_eq!((mark.next(false), mark.stamp), (None, 0));
+}
