--- a/tests/model/meetings.rs
+++ b/tests/model/meetings.rs
@@ -773,3 +773,20 @@
         }),
     ]
 }
+
+/// The model itself: where nobody serves any more, jobs that never end and that wait beside free
+/// machines are found.
+#[test]
+fn a_model_that_serves_nobody_breaks_rules() {
+    let w = World::new(1, setup());
+    jobs(&w, 4.0, 8.0, 4, |_, p| p.run_s = 300.0);
+    w.at(6.0, |w| {
+        for n in 0..3 {
+            w.crash(n, 100_000.0);
+        }
+        w.state().trouble_until = w.now();
+    });
+    let end = w.finish();
+    let breaks = |rule: &str| end.broken.iter().any(|b| b.contains(rule));
+    assert!(breaks("room: ") && breaks("never ended: "), "{end:?}");
+}
