Standing jobs, limits of the state service to come, and two versions side by side

Cause: members and owners need services that stay up; the state service will take less at some moment; the upgrade itself happens while both versions serve (docs/design.md, docs/operations.md).

- Standing jobs: replicas are attempts under the same rules, without an outcome; whatever their exit names they run again; room for two of the largest is kept on ordinary machines.
- A record of the new kind is written only once all members have stated that they know it, under their leases, and one guarded transaction has written that down.
- Values, transactions and rates obey the stricter of the limits of now and of state.next, also as pages and done sets grow.
- Found by the model: the rental plan gave spread jobs room in zones where they may not run, and a replica waited for good; rentals now mind zones.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -31,6 +31,8 @@
     pub objectives: Vec<Objective>,
     /// A job that has not begun for this long goes before all others with its first tasks.
     pub patience: Micros,
+    /// Bytes that a value in the state service may have.
+    pub value_bytes: usize,
     /// Bytes that jobs may take; beyond it none are accepted until some are over.
     pub job_bytes: usize,
     /// Machines that are known at once, at most: reports of others are turned away.
@@ -42,6 +44,9 @@
 /// Beside clock drift, allow for timers and for time between reading a clock and sending.
 pub const LEASE_MARGIN: Micros = Micros::from_millis(500);
 
+/// How long a replica of a standing job is expected to run: nobody waits for its end.
+const FOR_GOOD: Micros = Micros::from_secs(24 * 3600);
+
 /// Classes of jobs whose run times are learned.
 const MOST_CLASSES: usize = 1000;
 
@@ -65,6 +70,8 @@
     pub last_pass: Moment,
     /// How long tasks of a class ran, against their owners' estimates.
     pub estimate_ratio: BTreeMap<String, f64>,
+    /// Classes of which an array was seen: aims at their starting times are aims for work that ends.
+    pub array_classes: BTreeSet<String>,
     /// Machines on record that may hold tasks of earlier terms, not counted in yet.
     pub unseen: BTreeSet<String>,
     /// When the machines that earlier terms recorded existed, at the latest.
@@ -92,6 +99,12 @@
 
 impl Cluster {
     pub fn new(config: ClusterConfig, term: u64, started: Moment, seed: u64) -> Cluster {
+        let (claims, roster) = (
+            Pages::new(config.value_bytes),
+            Pages::new(config.value_bytes),
+        );
+        let mut fleet = Fleet::default();
+        fleet.roster = roster;
         Cluster {
             config,
             term,
@@ -99,15 +112,16 @@
             started,
             jobs: Jobs::default(),
             machines: BTreeMap::new(),
-            fleet: Fleet::default(),
+            fleet,
             rng: fastrand::Rng::with_seed(seed),
             released: false,
             dirty: true,
             last_pass: Moment(0),
             estimate_ratio: BTreeMap::new(),
+            array_classes: BTreeSet::new(),
             unseen: BTreeSet::new(),
             old_records: BTreeMap::new(),
-            claims: Pages::default(),
+            claims,
             claims_lost: false,
             awaiting_claim: BTreeMap::new(),
             wall_at_start: WallTime(0),
@@ -136,6 +150,9 @@
             return id;
         }
         let spec = submission.spec();
+        if !spec.standing && self.array_classes.len() < MOST_CLASSES {
+            self.array_classes.insert(spec.class.clone());
+        }
         let team = self.config.teams.iter().position(|t| t.name == spec.team);
         let age = wall.0.saturating_sub(spec.accepted.0);
         let accepted_at = Moment(now.0.saturating_sub(age));
@@ -234,6 +251,12 @@
         }
     }
 
+    /// No controller of an earlier version can lead any more.
+    pub fn all_know_format(&mut self) {
+        self.claims.let_move(true);
+        self.fleet.roster.let_move(true);
+    }
+
     /// The time of day, as far as this clock tells it.
     pub fn wall(&self, now: Moment) -> WallTime {
         WallTime(self.wall_at_start.0 + (now - self.started).0)
@@ -392,6 +415,9 @@
 
     /// How long a task of the job should run: its own finished tasks tell most.
     pub fn expected_run(&self, job: &Job) -> Micros {
+        if job.spec.standing {
+            return FOR_GOOD;
+        }
         let ratio = self
             .estimate_ratio
             .get(&job.spec.class)
@@ -409,6 +435,9 @@
             let run = self.expected_run(job).scaled(1.2);
             Moment(due.0.saturating_sub(run.0))
         };
+        if job.spec.standing {
+            return job.accepted_at;
+        }
         let mut latest = job.due_at().map(before);
         for o in self.config.objectives.iter() {
             if o.class.as_deref() != Some(job.spec.class.as_str()) || o.within_s <= 0.0 {
--- a/src/fleet/edge.rs
+++ b/src/fleet/edge.rs
@@ -2,7 +2,7 @@
 
 use super::HireResult;
 use super::wire::{Catalog, MachineList, Names, RentRequest};
-use crate::http::cbor::{decode, encode};
+use crate::http::cbor::{decode, encode, json_len};
 use crate::node::Node;
 use crate::os::pause;
 use crate::state_store::{Change, Urgency, from_value, to_value};
@@ -131,7 +131,12 @@
         let Some(guard) = self.core().lead.as_ref().map(|l| l.guard()) else {
             return false;
         };
-        let change = Change::write(CATALOG_KEY, to_value(catalog));
+        let data = to_value(catalog);
+        if json_len(&data) > self.settings.settings.state.strict().value_bytes() {
+            log::info!("the catalog is too large for the state service: it isn't kept there");
+            return true;
+        }
+        let change = Change::write(CATALOG_KEY, data);
         self.store
             .transact(&[guard], &[change], Urgency::Lazy)
             .is_ok()
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 use crate::jobs::Job;
 use crate::jobs::rounds::{Write, WriteKind, page_write};
 use crate::placement::Room;
+use crate::settings::Objective;
 use crate::state_store::pages::Pages;
 use crate::time::{Micros, Moment};
 use std::cmp::Reverse;
@@ -213,6 +214,9 @@
         {
             wanted.insert(offer, 1);
         }
+        if let Some(offer) = self.replica_offer(now) {
+            wanted.entry(offer).or_insert(1);
+        }
         for (offer, count) in wanted {
             let mut left = count;
             while left > 0 {
@@ -261,7 +265,10 @@
             let need = job.spec.need;
             let run = self.expected_run(job);
             // Whoever aims at starting times wants every start as soon as a machine can be had.
-            let latest = if eager { now } else { self.latest_start(job) };
+            let latest = match eager || job.spec.standing {
+                true => now,
+                false => self.latest_start(job),
+            };
             // By when a task could start there: only the bin that takes one changes.
             let earliest = |bins: &[Bin], i: usize| {
                 let bin = &bins[i];
@@ -274,6 +281,9 @@
                 };
                 Some(Reverse((start.max(now), i)))
             };
+            // A job bound to one zone, or spread over several, has no use for room elsewhere.
+            let zoned = job.spec.one_zone || job.spec.spread;
+            let mut zones = self.zones_of(id);
             let mut starts: BinaryHeap<Reverse<(Moment, usize)>> =
                 (0..bins.len()).filter_map(|i| earliest(&bins, i)).collect();
             for _ in 0..job.ready().min(MAX_PLANNED) {
@@ -281,10 +291,18 @@
                     break;
                 }
                 team_room[team] = team_room[team].minus(need);
+                while let Some(Reverse((_, i))) = starts.peek()
+                    && !Self::zone_allowed(job, &bins[*i].zone, &zones)
+                {
+                    starts.pop();
+                }
                 let best = starts.peek().map(|Reverse(best)| *best);
                 let offer = match best {
                     Some((start, _)) if start <= latest => None,
-                    _ => self.choose_offer(job, &offers, best.map(|(start, _)| start), now),
+                    _ => {
+                        let existing = best.map(|(start, _)| start);
+                        self.choose_offer(job, &offers, &zones, existing, now)
+                    }
                 };
                 let (start, at) = match (offer, best) {
                     (Some(offer), _) => {
@@ -305,6 +323,9 @@
                     }
                     (None, None) => break,
                 };
+                if zoned {
+                    *zones.entry(bins[at].zone.clone()).or_insert(0) += 1;
+                }
                 bins[at].take(start, need, run);
                 starts.extend(earliest(&bins, at));
             }
@@ -315,8 +336,17 @@
         wanted
     }
 
+    /// Objectives on the starting times of work that ends. Replicas are asked for at once anyway.
+    fn waits(&self) -> impl Iterator<Item = &Objective> {
+        let waits = self.config.objectives.iter().filter(|o| o.kind == "wait");
+        waits.filter(|o| {
+            let class = o.class.as_ref();
+            class.is_none_or(|c| self.array_classes.contains(c))
+        })
+    }
+
     fn aims_at_waits(&self) -> bool {
-        self.config.objectives.iter().any(|o| o.kind == "wait")
+        self.waits().next().is_some()
     }
 
     /// True if the operator aims at starting work sooner than a machine can be had: then room is
@@ -324,8 +354,8 @@
     fn keeps_ready(&self) -> bool {
         let boots = self.fleet.catalog.iter().map(|t| t.boot);
         let soonest = boots.min().unwrap_or_default().scaled(LATE_BOOT);
-        let mut waits = self.config.objectives.iter().filter(|o| o.kind == "wait");
-        waits.any(|o| Micros::from_secs_f64(o.within_s) < soonest)
+        self.waits()
+            .any(|o| Micros::from_secs_f64(o.within_s) < soonest)
     }
 
     /// CPUs free or on their way beyond the reserve that is wanted; negative if it falls short.
@@ -353,6 +383,42 @@
         free - (used * self.config.reserve) as i64
     }
 
+    /// CPUs of ordinary machines that a replica could have at once, beyond what is kept for them; None
+    /// if nobody needs any. Replicas that may not use spot machines can't wait for a boot: while there are
+    /// standing jobs, room for two of the largest is kept. What lower ranks use counts as room, since it
+    /// is stopped for them.
+    fn replica_room(&self) -> Option<i64> {
+        let standing = self.jobs.table.values();
+        let standing = standing.filter(|j| j.spec.standing && !j.spec.spot && !j.is_called_off());
+        let total = |j: &Job| j.spec.need.by(i64::from(j.spec.tasks)).cpu;
+        let largest = standing.map(total).max()?;
+        let there = |m: &&crate::workers::Machine| {
+            !m.spot && !m.returning && !m.faulty && !m.recalled && !m.lost
+        };
+        let mut room = -2 * largest;
+        for m in self.machines.values().filter(there) {
+            let taken = |key: &crate::workers::AttemptKey| {
+                let job = self.jobs.table.get(&key.0).filter(|j| j.spec.standing);
+                job.map_or(0, |j| j.spec.need.cpu)
+            };
+            let held = m.attempts.iter().filter(|(_, a)| a.holds());
+            room += self.fleet.room_of(&m.type_name).cpu - held.map(|(k, _)| taken(k)).sum::<i64>();
+        }
+        Some(room)
+    }
+
+    /// The cheapest ordinary machine, when room for replicas falls short.
+    fn replica_offer(&self, now: Moment) -> Option<Offer> {
+        if self.replica_room()? >= 0 {
+            return None;
+        }
+        let offers = self.fleet.offers().into_iter();
+        offers
+            .filter(|(o, _)| !o.spot && self.fleet.no_room.get(o).is_none_or(|t| *t <= now))
+            .min_by(|(_, a), (_, b)| a.total_cmp(b))
+            .map(|(offer, _)| offer)
+    }
+
     /// The cheapest spot machine, when the reserve falls short.
     fn reserve_offer(&self, now: Moment) -> Option<Offer> {
         if self.spare_cpu() >= 0 {
@@ -378,6 +444,7 @@
         &self,
         job: &Job,
         offers: &[(Offer, f64)],
+        zones: &BTreeMap<String, u32>,
         existing: Option<Moment>,
         now: Moment,
     ) -> Option<Offer> {
@@ -389,6 +456,7 @@
                 // A machine that is late to boot is still likely to be up before a new one.
                 let up = now + t.boot.scaled(1.2) + Micros::from_secs(3);
                 job.spec.allows(&t.name, &o.zone, o.spot)
+                    && Self::zone_allowed(job, &o.zone, zones)
                     && need.fits(t.room)
                     && self.fleet.no_room.get(o).is_none_or(|t| *t <= now)
                     && existing.is_none_or(|start| {
@@ -632,6 +700,7 @@
             .map(|t| (t.name.clone(), t.boot))
             .collect();
         let mut spare = self.spare_cpu();
+        let mut replica_room = self.replica_room().unwrap_or(i64::MAX);
         let started = self.started;
         for m in self.machines.values_mut() {
             if m.returning {
@@ -639,10 +708,13 @@
             }
             let mut idle =
                 m.idle_since.is_some_and(|t| now - t > idle_time_of(m.spot)) && !m.busy();
-            if idle && spare < m.total.cpu {
+            if idle && (spare < m.total.cpu || (!m.spot && replica_room < m.total.cpu)) {
                 idle = false;
             } else if idle {
                 spare -= m.total.cpu;
+                if !m.spot {
+                    replica_room -= m.total.cpu;
+                }
             }
             let boot = boots.get(&m.type_name).copied().unwrap_or(spot_idle);
             // A new leader hears from machines one by one: whoever was not heard from since it
--- a/src/http/cbor.rs
+++ b/src/http/cbor.rs
@@ -32,6 +32,32 @@
     out
 }
 
+/// How long a value is as JSON, at most: limits of size are counted in that form.
+pub fn json_len(value: &ciborium::Value) -> usize {
+    use ciborium::Value;
+    let list = |lens: &mut dyn Iterator<Item = usize>| 2 + lens.map(|len| len + 1).sum::<usize>();
+    match value {
+        Value::Null | Value::Bool(_) => 5,
+        Value::Integer(n) => i128::from(*n).to_string().len(),
+        Value::Float(_) => 24,
+        Value::Text(text) => {
+            let escaped = |c: char| match c {
+                '"' | '\\' => 2,
+                c if c.is_control() => 6,
+                c => c.len_utf8(),
+            };
+            2 + text.chars().map(escaped).sum::<usize>()
+        }
+        Value::Array(items) => list(&mut items.iter().map(json_len)),
+        Value::Map(entries) => list(
+            &mut entries
+                .iter()
+                .map(|(key, value)| json_len(key) + 1 + json_len(value)),
+        ),
+        _ => usize::MAX / 4,
+    }
+}
+
 /// A decimal amount; integers are accepted in its place.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
--- a/src/jobs/doneset.rs
+++ b/src/jobs/doneset.rs
@@ -91,6 +91,33 @@
         text
     }
 
+    /// The text of a chunk, if it may have so many bytes; else of what was `recorded` and as much more
+    /// as fits, or None if nothing more does. What isn't recorded runs again after a loss; the more
+    /// tasks are done, the more grow together into ranges.
+    pub fn fitting_text(&self, chunk: u32, recorded: &TaskSet, most: usize) -> Option<String> {
+        let text = self.chunk_text(chunk);
+        if text.len() <= most {
+            return Some(text);
+        }
+        let range = self.chunk_range(chunk);
+        let mut left: Vec<u32> = range
+            .filter(|t| self.contains(*t) && !recorded.contains(*t))
+            .collect();
+        // Halving finds nearly as much as fits, in few steps.
+        while !left.is_empty() {
+            left.truncate(left.len() / 2);
+            let mut part = recorded.clone();
+            for task in &left {
+                part.insert(*task);
+            }
+            let text = part.chunk_text(chunk);
+            if text.len() <= most && !left.is_empty() {
+                return Some(text);
+            }
+        }
+        None
+    }
+
     /// Adds what a stored chunk holds; None if the text is malformed.
     pub fn add_chunk(&mut self, chunk: u32, text: &str) -> Option<()> {
         let range = self.chunk_range(chunk);
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -49,7 +49,7 @@
 
 impl Node {
     pub fn rounds_loop(&self) {
-        let site = &self.settings.settings.state;
+        let site = self.settings.settings.state.strict();
         let rate = site.write_rps * self.options.write_budget as f64 / 100.0;
         let round = Micros::from_millis(self.options.round_ms);
         let mut tokens = TokenBucket::new(rate, rate.max(site.txn_ops as f64), self.now());
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -9,6 +9,9 @@
 /// The key prefix of claims: which tasks of which jobs may have started.
 pub const CLAIMS_PREFIX: &str = "claims/";
 
+/// What a done set's record takes beside the set.
+const RECORD_SPARE: usize = 40;
+
 /// One write: the changes belong together, and so do their guards.
 #[derive(Clone, Debug)]
 pub struct Write {
@@ -123,7 +126,10 @@
                 if writes.len() >= budget {
                     return writes;
                 }
-                let text = job.done.chunk_text(chunk);
+                let most = self.config.value_bytes.saturating_sub(RECORD_SPARE);
+                let Some(text) = job.done.fitting_text(chunk, &job.recorded, most) else {
+                    continue;
+                };
                 if text == job.recorded.chunk_text(chunk) {
                     continue;
                 }
--- a/src/jobs/spec.rs
+++ b/src/jobs/spec.rs
@@ -59,7 +59,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Shape {
+    /// Independent tasks, each runs to its end.
     Array,
+    /// Tasks (replicas) that run until the job is cancelled.
+    Standing,
 }
 
 /// Why a submission is refused for good.
@@ -98,6 +101,8 @@
     pub checkpoint: Micros,
     pub save: Micros,
     pub due: Option<Micros>,
+    /// Its tasks are replicas that run until it is cancelled.
+    pub standing: bool,
     pub accepted: WallTime,
 }
 
@@ -161,6 +166,7 @@
             checkpoint: Micros::from_secs_f64(self.bookmark_s.0),
             save: Micros::from_secs_f64(self.stash_s.0),
             due: self.due_s.map(|d| Micros::from_secs_f64(d.0)),
+            standing: self.shape == Shape::Standing,
             accepted: WallTime(self.accepted_us),
         }
     }
@@ -177,10 +183,11 @@
             return never("unknown team");
         };
         let spec = self.spec();
-        if !spec
-            .need
-            .fits(Room::have(team.cpus_max, team.gpus_max, 1e9))
-        {
+        // Tasks of an array may run one after the other; replicas run together.
+        let together = if spec.standing { spec.tasks } else { 1 };
+        let mut least = spec.need.by(i64::from(together));
+        least.ram = 0;
+        if !least.fits(Room::have(team.cpus_max, team.gpus_max, 0.0)) {
             return never("more than the team's limit");
         }
         if let Some(zone) = &spec.zone
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -1,10 +1,10 @@
 //! What users ask: submit, status, cancel and `/up`.
 
-use super::spec::{Refusal, Submission, is_ref};
+use super::spec::{Refusal, Shape, Submission, is_ref};
 use super::{
     DoneRecord, FULL_KEY, FinalRecord, JobView, Known, ViewState, done_key, final_key, job_key,
 };
-use crate::http::cbor::{decode, encode};
+use crate::http::cbor::{decode, encode, json_len};
 use crate::http::server::Response;
 use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest};
 use crate::node::{Core, Node};
@@ -149,9 +149,20 @@
         if let Err(refusal) = submission.possible(&site.teams, &catalog, &site.zones) {
             return self.refuse(Some(&id), refusal);
         }
+        if !self.may_write(&submission) {
+            return match self.lookup(&id) {
+                Lookup::Job(view) => short(200, &id, view.state),
+                _ => Response::busy(RETRY_S),
+            };
+        }
         self.accept(submission)
     }
 
+    /// A standing job is written once no controller can lead that doesn't know what it is.
+    fn may_write(&self, submission: &Submission) -> bool {
+        submission.shape == Shape::Array || self.all_know_format()
+    }
+
     /// A ref that is accepted already never gets a refusal, whatever body comes again.
     fn refuse(&self, id: Option<&str>, refusal: Refusal) -> Response {
         let found = id.map_or(Lookup::Absent, |id| self.lookup(id));
@@ -201,6 +212,9 @@
         let Ok(submission) = Submission::decode(body) else {
             return PeerReply::Busy;
         };
+        if !self.may_write(&submission) {
+            return PeerReply::Busy;
+        }
         match self.record(submission) {
             Accepted::New => PeerReply::Accepted,
             Accepted::Known(view) => PeerReply::Job(view),
@@ -248,12 +262,17 @@
         let id = submission.id.clone();
         let wall = self.os.wall();
         submission.accepted_us = wall.0;
+        let data = to_value(&submission);
+        if json_len(&data) > self.settings.settings.state.strict().value_bytes() {
+            log::info!("{id} is too large to be kept");
+            return Accepted::Refused;
+        }
         let guards = [
             Guard::new(job_key(&id), 0),
             Guard::new(final_key(&id), 0),
             Guard::new(FULL_KEY, 0),
         ];
-        let changes = [Change::write(job_key(&id), to_value(&submission))];
+        let changes = [Change::write(job_key(&id), data)];
         let leading = |core: &Core| core.lead.as_ref().map(|lead| lead.term);
         let term = leading(&self.core());
         match self.store.transact(&guards, &changes, Urgency::Granted) {
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -307,6 +307,9 @@
             }
         }
         cluster.drop_stale_claims();
+        if self.all_know_format() {
+            cluster.all_know_format();
+        }
         self.core().jobs_revision = jobs_revision.unwrap_or(lead.revision);
         Some(cluster)
     }
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -1,6 +1,7 @@
 //! The lead: taken by one transaction, kept by a lease, fenced by the leader key's revision.
 
 mod edge;
+mod level;
 pub mod peer;
 
 use crate::os::Os;
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,7 +15,7 @@
 use crate::workers::edge::WorkerClients;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -119,6 +119,8 @@
     pub open: Arc<AtomicUsize>,
     /// Neither the state service nor any peer answers.
     pub alone: AtomicBool,
+    /// The record format that all controllers are known to know.
+    pub level: AtomicU64,
 }
 
 impl Node {
@@ -126,8 +128,9 @@
         let now = os.now();
         let nodes = settings.members.len() as f64 + 1.0;
         let site = &settings.settings;
+        let limits = site.state.strict();
         // What the leader's budget leaves is for submissions, shared among the nodes.
-        let submit = site.state.write_rps * (1.0 - options.write_budget as f64 / 100.0) / nodes;
+        let submit = limits.write_rps * (1.0 - options.write_budget as f64 / 100.0) / nodes;
         let peers = settings
             .members
             .iter()
@@ -135,7 +138,7 @@
             .collect();
         Node {
             // The leader reads and writes most; the shares still stay below the limit together.
-            store: Store::new(settings.endpoints.state, site.state.rps / nodes, os.clone()),
+            store: Store::new(settings.endpoints.state, limits.rps / nodes, os.clone()),
             cloud: os.http(settings.endpoints.cloud),
             core: Mutex::new(Core {
                 finals: Finals::new(site.quota.remembered()),
@@ -150,6 +153,7 @@
             catalog: Mutex::new(None),
             open: Arc::default(),
             alone: AtomicBool::new(false),
+            level: AtomicU64::new(0),
             os,
             settings,
             options,
@@ -185,6 +189,7 @@
             objectives: site.objectives.clone(),
             patience: Micros::from_millis(self.options.patience_ms),
             remembered: site.quota.remembered(),
+            value_bytes: site.state.strict().value_bytes(),
             job_bytes: site.quota.job_bytes(),
             most_machines: site.quota.most_machines(),
         }
@@ -211,6 +216,7 @@
             ("fleet", duty(Node::fleet_loop)),
             ("tick", duty(Node::tick_loop)),
             ("company", duty(Node::company_loop)),
+            ("level", duty(Node::level_loop)),
         ];
         for _ in 0..self.settings.settings.quota.direct_threads() {
             duties.push(("direct", duty(Node::direct_loop)));
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -302,9 +302,11 @@
             let latest_start = self.latest_start(job);
             // What the job takes of its team's limit, were it alone: of jobs equally pressed,
             // small ones go first, since they hold up the others least.
-            let work = f64::from(job.remaining())
-                * self.expected_run(job).as_secs_f64()
-                * job.spec.need.cpu as f64;
+            let run = match job.spec.standing {
+                true => 0.0,
+                false => self.expected_run(job).as_secs_f64(),
+            };
+            let work = f64::from(job.remaining()) * run * job.spec.need.cpu as f64;
             let alone = work / (settings.cpus_max * 1000.0).max(1.0);
             let press = latest_start + Micros::from_secs_f64(alone * SMALL_FIRST);
             order.push((
@@ -312,7 +314,7 @@
                     begins: std::cmp::Reverse(self.starves(job, now)),
                     beyond_guarantee: !within,
                     rank: std::cmp::Reverse(job.spec.rank),
-                    late: now > latest_start + LATE_GRACE,
+                    late: !job.spec.standing && now > latest_start + LATE_GRACE,
                     press,
                     accepted: job.accepted_at,
                 },
@@ -521,7 +523,7 @@
     }
 
     /// Tasks of the job by zone, done ones included where it is known.
-    fn zones_of(&self, id: JobId) -> BTreeMap<String, u32> {
+    pub fn zones_of(&self, id: JobId) -> BTreeMap<String, u32> {
         let mut zones = BTreeMap::new();
         let Some(job) = self.jobs.table.get(&id) else {
             return zones;
@@ -542,7 +544,7 @@
         zones
     }
 
-    fn zone_allowed(job: &Job, zone: &str, zones: &BTreeMap<String, u32>) -> bool {
+    pub fn zone_allowed(job: &Job, zone: &str, zones: &BTreeMap<String, u32>) -> bool {
         if !job.spec.one_zone && !job.spec.spread {
             return true;
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -103,6 +103,44 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// Limits that will hold from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<StateLimits>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct StateLimits {
+    #[serde(default)]
+    pub rps: Option<f64>,
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+/// What a stored value's quotes and braces may take beside its contents.
+const VALUE_SPARE: usize = 16;
+
+impl StateSettings {
+    /// The limits that are obeyed: the stricter ones of now and later. What is written today, and what
+    /// grows by being written anew, must still be taken after a change that nobody tells of.
+    pub fn strict(&self) -> StateSettings {
+        let next = self.next.clone().unwrap_or_default();
+        StateSettings {
+            rps: self.rps.min(next.rps.unwrap_or(self.rps)),
+            write_rps: self.write_rps.min(next.write_rps.unwrap_or(self.write_rps)),
+            value_kb: self.value_kb.min(next.value_kb.unwrap_or(self.value_kb)),
+            txn_ops: self.txn_ops.min(next.txn_ops.unwrap_or(self.txn_ops)),
+            next: None,
+        }
+    }
+
+    /// Bytes that a value may have, in the form in which limits count them.
+    pub fn value_bytes(&self) -> usize {
+        ((self.value_kb * 1024.0) as usize).saturating_sub(VALUE_SPARE)
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -318,6 +356,23 @@
         if s.state.txn_ops < 4 {
             return bad("settings.state.txn_ops", "must be at least 4");
         }
+        if let Some(next) = &s.state.next {
+            for (name, value, low, high) in [
+                ("rps", next.rps, 1.0, 1e7),
+                ("write_rps", next.write_rps, 1.0, 1e7),
+                ("value_kb", next.value_kb, 1.0, 64.0),
+            ] {
+                if let Some(value) = value
+                    && !(low..=high).contains(&value)
+                {
+                    let problem = format!("must be from {low} to {high}, is {value}");
+                    return bad(&format!("settings.state.next.{name}"), &problem);
+                }
+            }
+            if next.txn_ops.is_some_and(|n| n < 4) {
+                return bad("settings.state.next.txn_ops", "must be at least 4");
+            }
+        }
         if s.quota
             .memory_mb
             .is_some_and(|mb| !(4.0..=1e7).contains(&mb))
--- a/src/state_store/pages.rs
+++ b/src/state_store/pages.rs
@@ -36,22 +36,55 @@
 pub struct Pages<V> {
     index: HashMap<String, u32>,
     pages: BTreeMap<u32, Page<V>>,
+    /// Bytes that a page may have.
+    most: usize,
+    /// Entries of pages that are larger may be set on other pages instead.
+    may_move: bool,
 }
 
 impl<V> Default for Pages<V> {
     fn default() -> Self {
+        Pages::new(usize::MAX)
+    }
+}
+
+/// An entry's key and value as JSON: the largest numbers that are kept are microseconds since 1970.
+fn entry_len(key: &str) -> usize {
+    key.len() + 22
+}
+
+impl<V> Page<V> {
+    fn len(&self) -> usize {
+        2 + self.entries.keys().map(|k| entry_len(k)).sum::<usize>()
+    }
+}
+
+impl<V> Pages<V> {
+    /// Pages of so many bytes at most.
+    pub fn new(most: usize) -> Pages<V> {
         Pages {
             index: HashMap::new(),
             pages: BTreeMap::new(),
+            most,
+            may_move: false,
         }
     }
 }
 
-impl<V: Clone> Pages<V> {
+impl<V: Clone + PartialOrd> Pages<V> {
+    /// Whether entries of a page that is larger than it may be go to others. The entry that stays
+    /// behind is superseded by the larger one; a controller of an earlier version would take either.
+    pub fn let_move(&mut self, may_move: bool) {
+        self.may_move = may_move;
+    }
+
     /// Takes in a page as it was read.
     pub fn load(&mut self, number: u32, revision: u64, entries: Vec<(String, V)>) {
-        for (key, _) in &entries {
-            self.index.insert(key.clone(), number);
+        for (key, value) in &entries {
+            // An entry that moved is on two pages; the larger one is the newer.
+            if self.get(key).is_none_or(|known| known <= value) {
+                self.index.insert(key.clone(), number);
+            }
         }
         let page = Page {
             revision,
@@ -65,12 +98,14 @@
 
     /// Sets an entry; its page is due at once.
     pub fn put(&mut self, key: &str, value: V) {
-        let number = match self.index.get(key) {
+        let stays = |n: &&u32| !self.may_move || self.pages[*n].len() <= self.most;
+        let number = match self.index.get(key).filter(stays) {
             Some(number) => *number,
             None => {
                 let roomy = self.pages.iter();
                 let number = roomy
                     .filter(|(_, p)| p.entries.len() < PAGE_ENTRIES)
+                    .filter(|(_, p)| p.len() + entry_len(key) <= self.most)
                     .map(|(n, _)| *n)
                     .next()
                     .unwrap_or_else(|| self.pages.keys().last().map_or(0, |n| n + 1));
@@ -124,6 +159,8 @@
         self.pages
             .iter()
             .filter(|(_, p)| p.stored < if tidy { p.version } else { p.awaited })
+            // One that is too large, of an earlier version, is read but can't be written any more.
+            .filter(|(_, p)| !self.may_move || p.len() <= self.most)
             .map(|(number, p)| PageImage {
                 number: *number,
                 revision: p.revision,
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -480,8 +480,15 @@
             if !unfinished && was != Some(TaskStatus::Exited) {
                 self.dirty = true;
                 let cause = task.cause.unwrap_or(wire::Cause::Other);
-                attempt.done = cause == wire::Cause::Done;
+                attempt.done = cause == wire::Cause::Done && !job.spec.standing;
+                let lasted = attempt
+                    .running_since
+                    .is_some_and(|t| now - t > COUNTS_AFTER);
                 match cause {
+                    // A replica's end is no outcome: it runs again elsewhere. One that ends soon after
+                    // its start, on one machine after the other, waits longer and longer.
+                    wire::Cause::Done if job.spec.standing && lasted => job.failed_on.clear(),
+                    wire::Cause::Done if job.spec.standing => job.note_failure(name, now),
                     wire::Cause::Done => {
                         // The first settle wins; a later attempt's outcome changes nothing.
                         if job.settle(number) && job.complete() {
@@ -493,6 +500,7 @@
                         }
                         machine.error_streak.clear();
                     }
+                    wire::Cause::Error if job.spec.standing && lasted => job.failed_on.clear(),
                     wire::Cause::Error => {
                         job.note_failure(name, now);
                         machine.error_streak.insert(job_id);
--- a/tests/common/keys.rs
+++ b/tests/common/keys.rs
@@ -1,7 +1,7 @@
 //! The state service's keys, holds and log, as the published protocol tells of them. Time is handed
 //! in, so that stand-ins on real time and the model on simulated time share it.
 
-use aspenreel::http::cbor::{decode, encode};
+use aspenreel::http::cbor::{decode, encode, json_len};
 use ciborium::{Value, cbor};
 use serde::Deserialize;
 use std::collections::{BTreeMap, HashMap};
@@ -16,6 +16,10 @@
     holds: BTreeMap<u64, (Duration, Duration)>,
     next_hold: u64,
     epoch: u64,
+    /// Bytes of a value and changes of a transaction, where they are limited.
+    pub limits: Option<(usize, usize)>,
+    /// Transactions that were beyond them.
+    pub refused: u32,
 }
 
 #[derive(Deserialize)]
@@ -116,6 +120,13 @@
 
     pub fn multi(&mut self, body: &[u8]) -> Answer {
         let multi: Multi = decode(body).unwrap();
+        if let Some((bytes, ops)) = self.limits {
+            let large = |c: &ChangeIn| c.data.as_ref().is_some_and(|d| json_len(d) > bytes);
+            if multi.apply.len() > ops || multi.apply.iter().any(large) {
+                self.refused += 1;
+                return answer(400, cbor!({"error" => "too large"}));
+            }
+        }
         for change in &multi.apply {
             if change.permit.is_some_and(|p| !self.holds.contains_key(&p)) {
                 return answer(400, cbor!({"error" => "no such lease"}));
--- a/tests/common/trace.rs
+++ b/tests/common/trace.rs
@@ -110,6 +110,7 @@
             objectives: Vec::new(),
             patience: Micros::from_secs(90),
             remembered: 1000,
+            value_bytes: 8192,
             job_bytes: 1 << 30,
             most_machines: 10_000,
         };
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -102,6 +102,7 @@
             ],
             patience: Micros::from_secs(90),
             remembered: 8000,
+            value_bytes: 8192,
             job_bytes: 1 << 30,
             most_machines: 10_000,
         };
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -5,7 +5,7 @@
 
 use aspenreel::fleet::HireResult;
 use aspenreel::jobs::rounds::{WriteKind, affordable};
-use aspenreel::jobs::spec::Rank;
+use aspenreel::jobs::spec::{Rank, Shape};
 use aspenreel::settings::Objective;
 use aspenreel::workers::direct::DirectResult;
 use insta::assert_snapshot;
@@ -1138,3 +1138,70 @@
     mark.known(false, 0);
     assert_eq!((mark.next(false), mark.revision), (None, 0));
 }
+
+/// A job that is spread, or bound to one zone, has no use for room elsewhere: a machine is rented where
+/// its tasks may run, however much room there is in the other zone.
+#[test]
+fn rentals_mind_zones() {
+    let mut w = World::new(2, one_team());
+    for name in ["big-east-1", "big-east-2"] {
+        w.heartbeat(name, &[]);
+    }
+    w.job(submission("run-1", |s| {
+        s.pieces = 4;
+        s.spread = true;
+    }));
+    w.tick(1.0).bound();
+    w.list(&[("big-east-1", "running"), ("big-east-2", "running")]);
+    w.rentals();
+    assert_snapshot!(w.log);
+}
+
+/// Replicas of a standing job run again when they end, whatever the end; the job is never done. Those
+/// that end soon after their start on one machine after the other wait longer and longer.
+#[test]
+fn replicas_run_again() {
+    let mut w = World::new(2, one_team());
+    w.heartbeat("big-east-1", &[]);
+    w.job(submission("run-1", |s| {
+        s.shape = Shape::Standing;
+        s.pieces = 2;
+    }));
+    w.at(3.0).heartbeat("big-east-1", &[]);
+    w.at(6.0)
+        .heartbeat(
+            "big-east-1",
+            &["run-1/0#2.1 running", "run-1/1#2.2 running"],
+        )
+        .view("run-1");
+    w.at(60.0)
+        .heartbeat("big-east-1", &["run-1/0#2.1 done", "run-1/1#2.2 running"])
+        .round(true)
+        .view("run-1");
+    w.at(63.0).heartbeat("big-east-1", &["run-1/1#2.2 running"]);
+    w.at(66.0)
+        .heartbeat("big-east-1", &["run-1/0#2.3 error", "run-1/1#2.2 running"]);
+    w.at(69.0)
+        .heartbeat("big-east-1", &["run-1/1#2.2 running"])
+        .bound();
+    w.cluster.ask_cancel("run-1");
+    w.at(70.0).round(true).view("run-1");
+    assert_snapshot!(w.log);
+}
+
+/// Room for replicas that may not use spot machines is kept ready while there are standing jobs: what
+/// lower ranks use counts, since it is stopped for them. Without standing jobs none is.
+#[test]
+fn room_is_kept_for_replicas() {
+    let mut w = World::new(2, one_team());
+    w.heartbeat("big-east-1", &[]);
+    w.list(&[("big-east-1", "running")]);
+    w.rentals();
+    w.job(submission("run-1", |s| {
+        s.shape = Shape::Standing;
+        s.loaners = false;
+        s.pieces = 3;
+    }));
+    w.at(3.0).rentals();
+    assert_snapshot!(w.log);
+}
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,293 @@
+//! Two versions side by side: what the version in production wrote and sent, byte by byte, is read and
+//! written by this one just so; and this one's new records wait until nobody of the old one can lead.
+
+use aspenreel::fleet::wire::Catalog;
+use aspenreel::http::cbor::{decode, encode, json_len};
+use aspenreel::jobs::doneset::TaskSet;
+use aspenreel::jobs::spec::{Shape, Submission};
+use aspenreel::jobs::{DoneRecord, FinalRecord, JobView, Outcome, ViewState};
+use aspenreel::leadership::LeaderRecord;
+use aspenreel::leadership::peer::{PeerReply, PeerRequest};
+use aspenreel::settings::{Settings, StateSettings};
+use aspenreel::state_store::pages::Pages;
+use aspenreel::state_store::to_value;
+use ciborium::cbor;
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn submission() -> Submission {
+    let wire = cbor!({
+        "ref" => "run-000412", "lane" => "train", "crew" => "vision", "shape" => "array",
+        "rank" => "high", "pieces" => 16, "cpus" => 8.0, "gpus" => 1.0, "ramGb" => 64.0,
+        "bundle" => "img-07", "imageGb" => 6.2, "builds" => ["g8"], "yard" => null,
+        "samePlace" => true, "spread" => false, "loaners" => true, "guessS" => 240.0,
+        "bookmarkS" => 30.0, "stashS" => 4.0, "dueS" => 900.0
+    });
+    let mut s = Submission::decode(&encode(&wire.unwrap())).unwrap();
+    s.accepted_us = 1_764_651_600_000_000;
+    s
+}
+
+fn catalog() -> Catalog {
+    let wire = cbor!({"builds" => [{"label" => "g8", "cpus" => 96, "gpus" => 8, "ramGb" => 768,
+        "cacheGb" => 200, "fetchGbPerS" => 1.0, "rate" => 12.0, "lowPrice" => 4.5,
+        "startupS" => 45, "yards" => ["a", "b"]}]});
+    decode(&encode(&wire.unwrap())).unwrap()
+}
+
+/// Every record that the version in production writes, by what it is.
+fn records() -> Vec<(&'static str, Vec<u8>)> {
+    let set = DoneRecord {
+        state: None,
+        set: "0-3,7".into(),
+    };
+    let cancelled = DoneRecord {
+        state: Some(Outcome::Cancelled),
+        set: String::new(),
+    };
+    let over = FinalRecord {
+        state: Outcome::Done,
+        tasks: 16,
+    };
+    let leader = LeaderRecord {
+        node: "reelhand-2".into(),
+        term: 7,
+        lease: 31,
+    };
+    vec![
+        ("jobs", encode(&to_value(&submission()))),
+        ("done", encode(&to_value(&set))),
+        ("done, final", encode(&to_value(&cancelled))),
+        ("final", encode(&to_value(&over))),
+        ("leader", encode(&to_value(&leader))),
+        ("claims", encode(&to_value(&vec![("run-000412", 9u32)]))),
+        (
+            "fleet",
+            encode(&to_value(&vec![("n-000231", 1_764_651_600_000_000u64)])),
+        ),
+        ("catalog", encode(&to_value(&catalog()))),
+    ]
+}
+
+/// Every frame that the version in production sends to another controller.
+fn frames() -> Vec<(&'static str, Vec<u8>)> {
+    let id = || "run-000412".to_string();
+    let view = JobView {
+        state: ViewState::Running,
+        done: 3,
+        running: 13,
+    };
+    let request = |r: &PeerRequest| borsh::to_vec(r).unwrap();
+    let reply = |r: &PeerReply| borsh::to_vec(r).unwrap();
+    vec![
+        ("status", request(&PeerRequest::Status { id: id() })),
+        ("cancel", request(&PeerRequest::Cancel { id: id() })),
+        ("read", request(&PeerRequest::Read { id: id() })),
+        ("ping", request(&PeerRequest::Ping)),
+        ("accept", request(&PeerRequest::Accept { body: vec![1, 2] })),
+        ("job", reply(&PeerReply::Job(view))),
+        ("unknown", reply(&PeerReply::Unknown)),
+        ("not leading", reply(&PeerReply::NotLeading)),
+        ("absent", reply(&PeerReply::Absent)),
+        ("busy", reply(&PeerReply::Busy)),
+        ("accepted", reply(&PeerReply::Accepted)),
+    ]
+}
+
+/// As the version in production writes and reads them.
+#[test]
+fn kept_records_and_frames() {
+    let all: String = records()
+        .iter()
+        .chain(&frames())
+        .map(|(what, bytes)| format!("{what}: {}\n", hex(bytes)))
+        .collect();
+    // Never to be updated while that version may run: an earlier controller reads just these bytes.
+    insta::assert_snapshot!("production_records_and_frames", all);
+}
+
+/// What was kept is read back as what it was.
+#[test]
+fn kept_records_and_frames_are_read() {
+    let kept = include_str!("snapshots/upgrade__production_records_and_frames.snap");
+    let bytes = |what: &str| -> Vec<u8> {
+        let line = kept
+            .lines()
+            .find_map(|l| l.strip_prefix(&format!("{what}: ")))
+            .unwrap();
+        (0..line.len())
+            .step_by(2)
+            .map(|i| u8::from_str_radix(&line[i..i + 2], 16).unwrap())
+            .collect()
+    };
+    let job: Submission = decode(&bytes("jobs")).unwrap();
+    assert_eq!(job.spec().id, "run-000412");
+    assert_eq!(
+        (job.shape, job.accepted_us, job.pieces),
+        (Shape::Array, 1_764_651_600_000_000, 16)
+    );
+    let done: DoneRecord = decode(&bytes("done")).unwrap();
+    let ended: DoneRecord = decode(&bytes("done, final")).unwrap();
+    assert_eq!((done.set.as_str(), done.state), ("0-3,7", None));
+    assert_eq!(ended.state, Some(Outcome::Cancelled));
+    let over: FinalRecord = decode(&bytes("final")).unwrap();
+    assert_eq!((over.state, over.tasks), (Outcome::Done, 16));
+    let leader: LeaderRecord = decode(&bytes("leader")).unwrap();
+    assert_eq!((leader.term, leader.lease), (7, 31));
+    let claims: Vec<(String, u32)> = decode(&bytes("claims")).unwrap();
+    assert_eq!(claims, [("run-000412".to_string(), 9)]);
+    let roster: Vec<(String, u64)> = decode(&bytes("fleet")).unwrap();
+    assert_eq!(roster[0].1, 1_764_651_600_000_000);
+    let catalog: Catalog = decode(&bytes("catalog")).unwrap();
+    assert_eq!(catalog.types()[0].name, "g8");
+    for (what, sent) in frames() {
+        assert_eq!(bytes(what), sent, "{what}");
+    }
+    let status: PeerRequest = borsh::from_slice(&bytes("status")).unwrap();
+    assert_eq!(
+        status,
+        PeerRequest::Status {
+            id: "run-000412".into()
+        }
+    );
+    let accepted: PeerReply = borsh::from_slice(&bytes("accepted")).unwrap();
+    assert_eq!(accepted, PeerReply::Accepted);
+}
+
+/// The stricter of the limits of now and later are obeyed, whichever that is, one by one.
+#[test]
+fn the_stricter_limits_hold() {
+    let with = |next: &str| -> StateSettings {
+        let text = format!("rps = 120.0\nwrite_rps = 20.0\nvalue_kb = 8.0\ntxn_ops = 12\n{next}");
+        toml::from_str::<StateSettings>(&text).unwrap().strict()
+    };
+    let told = |s: StateSettings| (s.rps, s.write_rps, s.value_kb, s.txn_ops);
+    assert_eq!(told(with("")), (120.0, 20.0, 8.0, 12));
+    assert_eq!(
+        told(with(
+            "[next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 15.0"
+        )),
+        (120.0, 15.0, 2.0, 4)
+    );
+    assert_eq!(
+        told(with("[next]\nvalue_kb = 16.0\nrps = 60.0\nodd = 1")),
+        (60.0, 20.0, 8.0, 12)
+    );
+}
+
+/// Values stay below the stricter limit also when they grow: pages of entries and done sets.
+#[test]
+fn values_stay_small_as_they_grow() {
+    let most = 2032;
+    let mut pages: Pages<u64> = Pages::new(most);
+    for i in 0..300u64 {
+        let name = format!("a-machine-with-a-long-name-{i:06}");
+        pages.put(&name, 1_764_651_600_000_000 + i);
+    }
+    for i in 0..300u64 {
+        let name = format!("a-machine-with-a-long-name-{i:06}");
+        pages.put(&name, 9_999_999_999_999_999 - i);
+    }
+    let images = pages.due(false);
+    let entries: usize = images.iter().map(|p| p.entries.len()).sum();
+    assert_eq!(entries, 300);
+    for image in &images {
+        let size = json_len(&to_value(&image.entries));
+        assert!(size <= most, "{size}");
+    }
+
+    // A hundred thousand tasks, every third done: as a bitmap each chunk has 2 KiB, which doesn't fit.
+    let mut done = TaskSet::new(100_000);
+    for task in (0..100_000).step_by(3) {
+        done.insert(task);
+    }
+    let mut recorded = TaskSet::new(100_000);
+    for chunk in 0..done.chunks() {
+        for _ in 0..3 {
+            if let Some(text) = done.fitting_text(chunk, &recorded, most - 40) {
+                let record = DoneRecord {
+                    state: None,
+                    set: text.clone(),
+                };
+                let size = json_len(&to_value(&record));
+                assert!(size <= most, "{size}");
+                recorded.add_chunk(chunk, &text).unwrap();
+            }
+        }
+    }
+    assert!(recorded.iter().all(|t| done.contains(t)));
+    assert!(recorded.len() > 2000, "{}", recorded.len());
+    // Once all are done they are one range.
+    for task in 0..100_000 {
+        done.insert(task);
+    }
+    assert_eq!(
+        done.fitting_text(0, &recorded, most - 40).as_deref(),
+        Some("0-8191")
+    );
+}
+
+/// A page of an earlier version that is too large is read; what changes on it goes to another page, but
+/// only once no controller of that version can lead: it would take either entry.
+#[test]
+fn large_pages_of_an_earlier_version() {
+    let name = |i: u32| format!("run-{i:040}");
+    let entries: Vec<(String, u32)> = (0..64).map(|i| (name(i), 5)).collect();
+    let mut pages: Pages<u32> = Pages::new(2032);
+    pages.load(3, 70, entries.clone());
+    pages.put(&name(1), 9);
+    assert_eq!(pages.due(false)[0].number, 3, "in place at first");
+    let mut pages: Pages<u32> = Pages::new(2032);
+    pages.load(3, 70, entries.clone());
+    pages.let_move(true);
+    pages.put(&name(1), 9);
+    let due = pages.due(true);
+    assert_eq!((due.len(), due[0].entries.clone()), (1, vec![(name(1), 9)]));
+    // Read back in whichever order, the larger entry counts.
+    for order in [[3, 4], [4, 3]] {
+        let mut next: Pages<u32> = Pages::new(2032);
+        for number in order {
+            let rows = match number {
+                3 => entries.clone(),
+                _ => due[0].entries.clone(),
+            };
+            next.load(number, 80, rows);
+        }
+        assert_eq!(next.get(&name(1)), Some(&9));
+    }
+}
+
+/// Limits to come that are absurd are told like other settings.
+#[test]
+fn absurd_limits_to_come_are_told() {
+    let base = include_str!("settings.rs");
+    let good = base
+        .split("r#\"")
+        .nth(1)
+        .unwrap()
+        .split("\"#")
+        .next()
+        .unwrap();
+    let with = |next: &str| {
+        let text = good.replace(
+            "txn_ops = 12 }",
+            &format!("txn_ops = 12, next = {{ {next} }} }}"),
+        );
+        Settings::parse(&text).map(drop).map_err(|e| e.to_string())
+    };
+    assert_eq!(
+        with("value_kb = 2.0, txn_ops = 4, write_rps = 15.0"),
+        Ok(())
+    );
+    for (next, field) in [
+        ("value_kb = 0.2", "settings.state.next.value_kb"),
+        ("txn_ops = 3", "settings.state.next.txn_ops"),
+        ("write_rps = -1.0", "settings.state.next.write_rps"),
+        ("rps = 0.0", "settings.state.next.rps"),
+    ] {
+        let told = with(next).unwrap_err();
+        assert!(told.contains(&format!("field `{field}`")), "{told}");
+    }
+}
