--- a/src/cli.rs
+++ b/src/cli.rs
@@ -36,11 +36,11 @@
     #[arg(long, env = "ASPENREEL_WRITE_BUDGET", default_value_t = 60,
           value_parser = clap::value_parser!(u64).range(1..=90))]
     pub write_budget: u64,
-    /// Life of the leader's lease in the state service (its lease), in milliseconds; with the workers'
-    /// lease it must fit into the time for a cancellation
-    #[arg(long, env = "ASPENREEL_HOLD_MS", default_value_t = 8000,
+    /// Life of the leader's lease in the state service (its hold), in milliseconds; with the workers'
+    /// lease it must fit into the time for a cancellation [default: 8000, or less where that needs it]
+    #[arg(long, env = "ASPENREEL_HOLD_MS",
           value_parser = clap::value_parser!(u64).range(1000..=60_000))]
-    pub hold_ms: u64,
+    pub hold_ms: Option<u64>,
     /// A spot machine without work is returned after this long, in milliseconds; an ordinary one
     /// after a quarter of it
     #[arg(long, env = "ASPENREEL_IDLE_MS", default_value_t = 20_000,
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -21,10 +21,6 @@
         pause(&*self.os, low_ms, high_ms);
     }
 
-    fn lease_life(&self) -> Micros {
-        Micros::from_millis(self.options.hold_ms)
-    }
-
     pub fn lead_loop(&self) {
         loop {
             match self.store.get(LEADER_KEY, Urgency::Lead) {
@@ -34,12 +30,7 @@
                     if !self.may_stand() {
                         continue;
                     }
-                    match take(
-                        &self.store,
-                        &*self.os,
-                        &self.settings.node,
-                        self.lease_life(),
-                    ) {
+                    match take(&self.store, &*self.os, &self.settings.node, self.lease_life) {
                         Ok(Take::Taken(lead)) => self.lead(lead),
                         Ok(Take::Lost) => {}
                         Err(e) => {
@@ -185,7 +176,7 @@
 
     /// Renews once if it is time; false when the lead is lost.
     fn renew_if_due(&self, lease: u64, renewed: &mut Moment) -> bool {
-        let life = self.lease_life();
+        let life = self.lease_life;
         let sent = self.now();
         if sent - *renewed < life.scaled(0.25) {
             return true;
@@ -210,7 +201,7 @@
     }
 
     fn keep(&self, lease: u64, renewed: &mut Moment) {
-        let wait = self.lease_life().scaled(0.25).duration();
+        let wait = self.lease_life.scaled(0.25).duration();
         loop {
             if !self.renew_if_due(lease, renewed) || self.core().step_down {
                 return;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,6 @@
 use aspenreel::node::Node;
 use aspenreel::os::System;
 use aspenreel::settings::Settings;
-use aspenreel::time::Micros;
 use clap::Parser;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -22,14 +21,13 @@
     let level = std::env::var("LOG_LEVEL").ok();
     aspenreel::logging::start(level.as_deref())?;
     let settings = Settings::load(&options.config).map_err(|e| e.to_string())?;
-    let hold = Micros::from_millis(options.hold_ms);
-    settings.check_hold(hold).map_err(|e| e.to_string())?;
     for warning in settings.settings.quota.warnings() {
         log::warn!("{warning}");
     }
     few_arenas();
     let system = Arc::new(System::default());
-    let node = Arc::new(Node::new(settings, options, system.clone()));
+    let node = Node::new(settings, options, system.clone()).map_err(|e| e.to_string())?;
+    let node = Arc::new(node);
     node.run(system).map_err(|e| format!("cannot listen: {e}"))
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,7 +8,7 @@
 use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest, serve_peers};
 use crate::leadership::{Lead, LeaderRecord};
 use crate::os::{HttpClient, Os, Signal, System};
-use crate::settings::Settings;
+use crate::settings::{Settings, SettingsError};
 use crate::state_store::Store;
 use crate::state_store::bucket::TokenBucket;
 use crate::time::{Micros, Moment};
@@ -102,6 +102,8 @@
 pub struct Node {
     pub settings: Settings,
     pub options: ServeOptions,
+    /// How long the leader's lease lives.
+    pub lease_life: Micros,
     pub os: Arc<dyn Os>,
     pub store: Store,
     pub cloud: Arc<dyn HttpClient>,
@@ -124,7 +126,13 @@
 }
 
 impl Node {
-    pub fn new(settings: Settings, options: ServeOptions, os: Arc<dyn Os>) -> Node {
+    pub fn new(
+        settings: Settings,
+        options: ServeOptions,
+        os: Arc<dyn Os>,
+    ) -> Result<Node, SettingsError> {
+        let asked = options.hold_ms.map(Micros::from_millis);
+        let lease_life = settings.leader_lease(asked)?;
         let now = os.now();
         let nodes = settings.members.len() as f64 + 1.0;
         let site = &settings.settings;
@@ -136,7 +144,7 @@
             .iter()
             .map(|m| (m.node.clone(), PeerClient::new(os.clone(), m.peer_addr)))
             .collect();
-        Node {
+        Ok(Node {
             // The leader reads and writes most; the shares still stay below the limit together.
             store: Store::new(settings.endpoints.state, limits.rps / nodes, os.clone()),
             cloud: os.http(settings.endpoints.cloud),
@@ -154,10 +162,11 @@
             open: Arc::default(),
             alone: AtomicBool::new(false),
             level: AtomicU64::new(0),
+            lease_life,
             os,
             settings,
             options,
-        }
+        })
     }
 
     pub fn core(&self) -> MutexGuard<'_, Core> {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -19,8 +19,10 @@
 
 /// Added to the times of a cancellation: timers, the ways of the last answer and of the last order.
 const CANCEL_MARGIN: Micros = Micros::from_millis(1000);
+/// The life of the leader's lease, unless something else is asked for or needed.
+const USUAL_HOLD: Micros = Micros::from_millis(8000);
 /// The shortest life of the leader's lease that its flag takes.
-pub const SHORTEST_HOLD: Micros = Micros::from_millis(1000);
+const SHORTEST_HOLD: Micros = Micros::from_millis(1000);
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
@@ -277,17 +279,18 @@
         Ok(settings)
     }
 
-    /// Refuses a life of the leader's lease with which a cancellation could take too long.
+    /// The life of the leader's lease: as asked for, else the usual one, or less where a cancellation
+    /// could take too long with it. Refuses what could.
     ///
     /// Whoever confirms a cancellation, and whatever the leader knows of it: after that moment the
     /// leader of before answers for no longer than its lease lives, and a worker that nobody answers
     /// kills its tasks when its own lease is over. Both together, with what clocks may drift and a
     /// margin, must fit into the time for a cancellation (`docs/design.md`, *The gap*).
-    pub fn check_hold(&self, hold: Micros) -> Result<(), SettingsError> {
+    pub fn leader_lease(&self, asked: Option<Micros>) -> Result<Micros, SettingsError> {
         let w = &self.settings.workers;
         let cancel = Micros::from_secs_f64(w.cancel_s);
-        let rest = at_most(w.lease()) + CANCEL_MARGIN;
-        if rest + SHORTEST_HOLD > cancel {
+        let most = cancel.saturating_sub(at_most(w.lease()) + CANCEL_MARGIN);
+        if most < SHORTEST_HOLD {
             let left = cancel.saturating_sub(CANCEL_MARGIN + SHORTEST_HOLD);
             let most = (at_least(left).as_secs_f64() * 1000.0).floor() / 1000.0;
             return Err(SettingsError::Field {
@@ -298,16 +301,17 @@
                 ),
             });
         }
-        if rest + hold > cancel {
-            let most = cancel.saturating_sub(rest).0 / 1000;
-            return Err(SettingsError::Hold(format!(
-                "must be at most {most} for a lease_s of {} and a cancel_s of {}, is {}: tasks of a cancelled job could outlast it",
+        match asked {
+            Some(asked) if asked > most => Err(SettingsError::Hold(format!(
+                "must be at most {} for a lease_s of {} and a cancel_s of {}, is {}: tasks of a cancelled job could outlast it",
+                most.0 / 1000,
                 w.lease_s,
                 w.cancel_s,
-                hold.0 / 1000
-            )));
+                asked.0 / 1000
+            ))),
+            Some(asked) => Ok(asked),
+            None => Ok(USUAL_HOLD.min(most)),
         }
-        Ok(())
     }
 
     fn check(&self) -> Result<(), SettingsError> {
--- a/tests/model/world.rs
+++ b/tests/model/world.rs
@@ -253,7 +253,7 @@
         let words = ["aspenreel", "serve", "--config", "-", "--hold-ms", &hold];
         let Command::Serve(options) = Cli::parse_from(words).command;
         let os = Arc::new(SimOs::new(self, n, process, drift, skew));
-        let node = Arc::new(Node::new(self.settings_of(n), options, os));
+        let node = Arc::new(Node::new(self.settings_of(n), options, os).unwrap());
         for (i, (_, duty)) in node.duties().into_iter().enumerate() {
             self.sched.spawn(process, seed ^ i as u64, duty);
         }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -145,8 +145,12 @@
     };
     let fits = |lease: &str, hold: u64| {
         let hold = Micros::from_millis(hold);
-        settings(lease).check_hold(hold).is_ok()
+        settings(lease).leader_lease(Some(hold)).is_ok()
     };
     assert!(fits("20.0", 18_980) && !fits("20.0", 18_981), "{hold}");
     assert!(fits("37.962", 1000) && !fits("37.963", 1000), "{lease}");
+    // Unless it is asked for, it is shorter where it must be, and nobody has to set anything.
+    let usual = |lease: &str| settings(lease).leader_lease(None).unwrap();
+    assert_eq!(usual("20.0"), Micros::from_millis(8000));
+    assert_eq!(usual("35.0"), Micros::from_millis(3965));
 }
