--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -6,7 +6,7 @@
 use crate::time::{Micros, Moment};
 use crate::workers::wire::TaskStatus;
 use crate::workers::{Attempt, AttemptKey, Machine, Wanted};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Resources in whole thousandths, so that sums are exact.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -181,6 +181,8 @@
     victims: Option<Vec<Victim>>,
     /// What teams use beyond their guarantees.
     over: Vec<i64>,
+    /// Jobs that don't fit into their team's guarantee beside its earlier ones.
+    beyond: BTreeSet<JobId>,
     /// The lowest rank of which anything holds a place.
     lowest: Option<Rank>,
     /// The highest rank that waits, and the highest that waits for its team's guarantee.
@@ -281,6 +283,12 @@
 
     /// Jobs with waiting tasks, the most urgent first.
     pub fn order(&self, now: Moment) -> Vec<(Priority, JobId)> {
+        self.order_and_beyond(now).0
+    }
+
+    /// The same, and all jobs that don't fit into their team's guarantee beside its earlier ones.
+    fn order_and_beyond(&self, now: Moment) -> (Vec<(Priority, JobId)>, BTreeSet<JobId>) {
+        let mut beyond = BTreeSet::new();
         let mut by_age: Vec<(&JobId, &Job)> = self
             .jobs
             .table
@@ -296,6 +304,9 @@
             let settings = &self.config.teams[team];
             let guarantee = Room::have(settings.cpus, settings.gpus, 0.0);
             let within = claimed[team].cpu <= guarantee.cpu && claimed[team].gpu <= guarantee.gpu;
+            if !within {
+                beyond.insert(*id);
+            }
             if job.ready() == 0 || job.retry_at > now {
                 continue;
             }
@@ -322,7 +333,7 @@
             ));
         }
         order.sort();
-        order
+        (order, beyond)
     }
 
     /// A job that waits in vain for its first start. Small and urgent work goes before large and
@@ -356,11 +367,12 @@
     pub fn place(&mut self, now: Moment) {
         self.dirty = false;
         self.last_pass = now;
-        let order = self.order(now);
+        let (order, beyond) = self.order_and_beyond(now);
         if order.is_empty() {
             return;
         }
         let mut pass = self.begin_pass(now);
+        pass.beyond = beyond;
         let ranks = |p: &Priority| p.rank.0;
         let within = order.iter().filter(|(p, _)| !p.beyond_guarantee);
         pass.highest = (
@@ -400,6 +412,7 @@
             barren: Vec::new(),
             team_room: self.team_room_beside(&used),
             victims: None,
+            beyond: BTreeSet::new(),
             highest: (None, None),
             lowest: self
                 .jobs
@@ -723,30 +736,53 @@
         if pass.victims.is_none() {
             pass.victims = Some(self.victims(pass, now));
         }
+        // By place, what might be stopped there: nothing is, unless it makes enough room together.
+        // What is stopped in vain starts again in the room that it left, and is stopped again, without
+        // end, where the rest of a machine can't be stopped.
+        let mut together: BTreeMap<usize, (Room, Vec<usize>)> = BTreeMap::new();
         let mut stops = Vec::new();
-        for v in pass.victims.iter_mut().flatten() {
+        let victims = pass.victims.as_mut().map_or(&mut [][..], |v| &mut v[..]);
+        for i in 0..victims.len() {
             if left == 0 {
                 break;
             }
+            let v = &victims[i];
+            // Only what comes later in the order: what fits into its own team's guarantee would stop
+            // the same work in turn, since both teams may have borrowed, again and again.
             let borrowed = !priority.beyond_guarantee
                 && v.team != team
                 && v.rank <= rank
+                && pass.beyond.contains(&v.key.0)
                 && pass.over[v.team] >= v.need.cpu;
             if v.stopped || (v.rank >= rank && !borrowed) || !allowed(v.at, &pass.places) {
                 continue;
             }
-            v.stopped = true;
-            pass.over[v.team] -= v.need.cpu;
-            let place = &mut pass.places[v.at];
+            let at = v.at;
+            let promised = pass.places[at].promised;
+            let (room, stopped) = together.entry(at).or_insert((promised, Vec::new()));
+            *room = room.plus(v.need);
+            stopped.push(i);
+            if !need.fits(*room) {
+                continue;
+            }
+            let room = *room;
+            for i in std::mem::take(stopped) {
+                let v = &mut victims[i];
+                v.stopped = true;
+                pass.over[v.team] -= v.need.cpu;
+                stops.push((pass.places[at].name.clone(), v.key));
+            }
+            let place = &mut pass.places[at];
             if place.promised == place.free {
-                pass.making.push(v.at);
+                pass.making.push(at);
             }
-            place.promised = place.promised.plus(v.need);
+            place.promised = room;
             while left > 0 && need.fits(place.promised) {
                 place.promised = place.promised.minus(need);
                 left -= 1;
             }
-            stops.push((place.name.clone(), v.key));
+            let promised = place.promised;
+            together.insert(at, (promised, Vec::new()));
         }
         for (name, key) in stops {
             self.stop_attempt(&name, key);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -1205,3 +1205,43 @@
     w.at(3.0).rentals();
     assert_snapshot!(w.log);
 }
+
+/// A task that needs a whole machine stops nothing where it would not get one: what is stopped in vain
+/// starts again in the room that it left, and was stopped again, thousands of times in a row.
+#[test]
+fn nothing_is_stopped_in_vain() {
+    let mut w = World::new(2, one_team());
+    for name in ["small-east-1", "small-east-2"] {
+        w.heartbeat(name, &[]);
+    }
+    // Each machine has a task that can't be stopped for it, and one that could.
+    w.job(submission("run-1", |s| s.rank = Rank::High));
+    w.at(1.0).heartbeat("small-east-1", &[]);
+    w.heartbeat("small-east-2", &[]);
+    w.job(submission("run-2", |s| s.rank = Rank::Low));
+    w.at(2.0)
+        .heartbeat("small-east-1", &["run-1/1#2.2 running"]);
+    w.heartbeat("small-east-2", &["run-1/0#2.1 running"]);
+    w.at(2.1).bound();
+    w.job(submission("run-3", |s| {
+        s.pieces = 1;
+        s.cpus = decimal(8.0);
+        s.rank = Rank::High;
+    }));
+    w.tick(3.0).bound();
+    let both = [
+        (
+            "small-east-1",
+            ["run-1/1#2.2 running", "run-2/0#2.3 running"],
+        ),
+        (
+            "small-east-2",
+            ["run-1/0#2.1 running", "run-2/1#2.4 running"],
+        ),
+    ];
+    for (name, tasks) in both {
+        w.at(4.0).heartbeat(name, &tasks);
+    }
+    w.at(4.1).bound();
+    assert_snapshot!(w.log);
+}
