--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -1245,3 +1245,32 @@
     w.at(4.1).bound();
     assert_snapshot!(w.log);
 }
+
+/// Replicas that end soon after their start, on one machine after the other, are tried less and less
+/// often; one that lasts ends the wait.
+#[test]
+fn replicas_that_fail_everywhere_back_off() {
+    let mut w = World::new(2, one_team());
+    w.job(submission("run-1", |s| {
+        s.shape = Shape::Standing;
+        s.pieces = 1;
+    }));
+    let wait = |w: &World| {
+        let job = w.cluster.jobs.get("run-1").unwrap();
+        (job.retry_at - w.now).as_secs_f64()
+    };
+    let mut waits = Vec::new();
+    for k in 1..6u32 {
+        let name = format!("big-east-{k}");
+        let start = 100.0 * f64::from(k);
+        w.at(start).heartbeat(&name, &[]);
+        w.tick(start + 1.0);
+        let attempt = w.cluster.machines[&name].attempts.keys().next().copied();
+        let (_, _, attempt) = attempt.expect("it is tried on the machine that is there");
+        let ended = format!("run-1/0#2.{} done", attempt & 0xffff_ffff);
+        w.at(start + 3.0).heartbeat(&name, &[]);
+        w.at(start + 6.0).heartbeat(&name, &[&ended]);
+        waits.push(wait(&w));
+    }
+    assert_eq!(waits, [0.0, 0.0, 2.0, 4.0, 8.0]);
+}
