--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -5,7 +5,9 @@
 
 use crate::fleet::Fleet;
 use crate::jobs::spec::Submission;
-use crate::jobs::{DoneRecord, Job, JobId, JobView, Jobs, Outcome, ViewState, new_job};
+use crate::jobs::{
+    Deciding, DoneRecord, Job, JobId, JobView, Jobs, Known, Outcome, ViewState, new_job,
+};
 use crate::settings::{Objective, TeamSettings};
 use crate::state_store::pages::Pages;
 use crate::time::{Micros, Moment, WallTime, at_most};
@@ -160,6 +162,10 @@
         let Some(known) = job.stamps.get_mut(chunk as usize) else {
             return;
         };
+        if *known != stamp && chunk == 0 {
+            // What got no answer was guarded by the stamp before: it can't be applied any more.
+            job.deciding = Deciding::No;
+        }
         *known = stamp;
         let mut set = job.recorded.clone();
         if set.add_chunk(chunk, &record.set).is_none() {
@@ -249,17 +255,22 @@
         true
     }
 
-    pub fn view(&self, id: &str) -> Option<JobView> {
-        let job = self.jobs.get(id)?;
+    pub fn view(&self, id: &str) -> Known {
+        let (Some(job_id), Some(job)) = (self.jobs.find(id), self.jobs.get(id)) else {
+            return Known::Nothing;
+        };
         if let Some(outcome) = job.outcome {
-            return Some(JobView::of_final(outcome, job.spec.tasks));
+            return Known::View(JobView::of_final(outcome, job.spec.tasks));
+        }
+        if job.deciding != Deciding::No {
+            return Known::Deciding;
         }
         let running = if job.is_bound() {
-            self.running_of(self.jobs.find(id)?)
+            self.running_of(job_id)
         } else {
             0
         };
-        Some(JobView {
+        Known::View(JobView {
             state: if running > 0 {
                 ViewState::Running
             } else {
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -2,8 +2,9 @@
 
 use super::rounds::{CLAIMS_PREFIX, Write, WriteKind, affordable, pack};
 use super::{DoneRecord, FULL_KEY, FinalRecord, JobView};
+use crate::cluster::Cluster;
 use crate::fleet::FLEET_PREFIX;
-use crate::node::Node;
+use crate::node::{Core, Node};
 use crate::state_store::bucket::TokenBucket;
 use crate::state_store::{Change, Commit, Guard, StoreError, Urgency, from_value, to_value};
 use crate::time::{Micros, Moment};
@@ -30,7 +31,7 @@
         loop {
             self.os.sleep(GATHER);
             let now = self.now();
-            let (writes, guard) = {
+            let (writes, guard, term) = {
                 let mut core = self.core();
                 let Some((lead, cluster)) = core.acting(now) else {
                     self.await_change(core, Duration::from_millis(500));
@@ -82,34 +83,48 @@
                     self.await_change(core, wait);
                     continue;
                 }
-                (writes, guard)
+                // From here on nobody is told anything older than what may be on record soon.
+                cluster.sending(&writes);
+                (writes, guard, term)
             };
-            for pack in pack(writes, site.txn_ops) {
+            let mut packs = pack(writes, site.txn_ops).into_iter();
+            for pack in packs.by_ref() {
                 let mut guards = vec![guard.clone()];
                 guards.extend(pack.iter().flat_map(|w| w.guards.iter().cloned()));
                 let changes: Vec<_> = pack.iter().flat_map(|w| w.changes.clone()).collect();
                 tokens.force(changes.len() as f64, self.now());
                 match self.store.multi(&guards, &changes, Urgency::Granted) {
-                    Ok(Commit::Done { epoch }) => self.note_written(&pack, epoch),
+                    Ok(Commit::Done { epoch }) => self.note_written(term, &pack, epoch),
                     Ok(Commit::Conflict { failed }) => {
                         if failed.contains(&guard.key) {
-                            log::info!("the lead is another's: standing down");
-                            self.core().step_down = true;
+                            self.under(term, |core| {
+                                log::info!("the lead is another's: standing down");
+                                core.step_down = true;
+                            });
                         } else {
-                            self.read_back(&failed);
+                            self.read_back(term, &failed);
+                            self.in_cluster(term, |cluster| cluster.not_written(&pack));
                         }
                     }
                     Err(e) => {
-                        // Whether it was applied shows at the next try: the guards' stamps fail.
                         log::debug!("records not written: {e}");
                         not_before = self.now() + Micros::from_millis(200);
-                        if !matches!(e, StoreError::Refused(_)) {
+                        if matches!(e, StoreError::Refused(_)) {
+                            self.in_cluster(term, |cluster| cluster.not_written(&pack));
+                        } else {
+                            // Whether it was applied shows at the next try: the guards' stamps fail.
                             not_before = self.now() + Micros::from_millis(50);
+                            self.in_cluster(term, |cluster| cluster.unanswered(&pack));
                         }
                         break;
                     }
                 }
             }
+            // What was not sent after all.
+            for pack in packs {
+                self.in_cluster(term, |cluster| cluster.not_written(&pack));
+            }
+            self.changed.notify_all();
         }
     }
 
@@ -136,9 +151,30 @@
         matches!(told, Ok(Commit::Done { .. }))
     }
 
-    fn note_written(&self, pack: &[Write], epoch: u64) {
+    /// Does something with what this node knows as the leader of that term. While an answer was on
+    /// its way the lead may have ended and begun anew: in the new term's memory other jobs have the
+    /// numbers by which the writes name theirs.
+    fn under(&self, term: u64, work: impl FnOnce(&mut Core)) {
         let mut core = self.core();
-        let core = &mut *core;
+        if core.cluster.as_ref().is_some_and(|c| c.term == term) {
+            work(&mut core);
+        }
+    }
+
+    fn in_cluster(&self, term: u64, work: impl FnOnce(&mut Cluster)) {
+        self.under(term, |core| {
+            if let Some(cluster) = &mut core.cluster {
+                work(cluster);
+            }
+        });
+    }
+
+    fn note_written(&self, term: u64, pack: &[Write], epoch: u64) {
+        self.under(term, |core| self.note_written_in(core, pack, epoch));
+        self.changed.notify_all();
+    }
+
+    fn note_written_in(&self, core: &mut Core, pack: &[Write], epoch: u64) {
         let Some(cluster) = &mut core.cluster else {
             return;
         };
@@ -153,14 +189,13 @@
         }
         cluster.place_soon(self.now());
         self.wake(cluster);
-        self.changed.notify_all();
     }
 
     /// Keys whose stamps were not as expected: an unanswered write of ours was applied.
-    fn read_back(&self, failed: &[String]) {
+    fn read_back(&self, term: u64, failed: &[String]) {
         for key in failed {
             if key.starts_with(CLAIMS_PREFIX) || key.starts_with(FLEET_PREFIX) {
-                self.read_back_page(key);
+                self.read_back_page(term, key);
                 continue;
             }
             let Some((id, chunk)) = key
@@ -169,21 +204,17 @@
                 .and_then(|(id, c)| Some((id, c.parse::<u32>().ok()?)))
             else {
                 log::info!("guard on {key} failed");
-                self.read_back_job(key);
+                self.read_back_job(term, key);
                 continue;
             };
             match self.store.get(key, Urgency::Normal) {
                 Ok(Some(row)) => {
                     let record: DoneRecord = from_value(&row.data).unwrap_or_default();
-                    if let Some(cluster) = &mut self.core().cluster {
-                        cluster.load_done(id, chunk, &record, row.stamp);
-                    }
+                    self.in_cluster(term, |c| c.load_done(id, chunk, &record, row.stamp));
                 }
                 Ok(None) => {
-                    if let Some(cluster) = &mut self.core().cluster {
-                        cluster.done_key_absent(id, chunk);
-                    }
-                    self.read_back_job(&super::job_key(id));
+                    self.in_cluster(term, |c| c.done_key_absent(id, chunk));
+                    self.read_back_job(term, &super::job_key(id));
                 }
                 Err(e) => log::debug!("{key} not read back: {e}"),
             }
@@ -193,7 +224,7 @@
 
     /// A page that a write of ours without an answer changed: it is written again over that one,
     /// which can't be applied any more once its stamp is known.
-    fn read_back_page(&self, key: &str) {
+    fn read_back_page(&self, term: u64, key: &str) {
         let stamp = match self.store.get(key, Urgency::Normal) {
             Ok(row) => row.map_or(0, |r| r.stamp),
             Err(e) => {
@@ -201,19 +232,18 @@
                 return;
             }
         };
-        if let Some(cluster) = &mut self.core().cluster
-            && let Some((prefix, number)) = key.split_once('/')
+        if let Some((prefix, number)) = key.split_once('/')
             && let Ok(number) = number.parse()
         {
-            match prefix {
+            self.in_cluster(term, |cluster| match prefix {
                 "claims" => cluster.claims.restamp(number, stamp),
                 _ => cluster.fleet.roster.restamp(number, stamp),
-            }
+            });
         }
     }
 
     /// A job whose retirement was applied without an answer is gone from `jobs/`.
-    fn read_back_job(&self, key: &str) {
+    pub fn read_back_job(&self, term: u64, key: &str) {
         let Some(id) = key.strip_prefix("jobs/") else {
             return;
         };
@@ -227,15 +257,13 @@
             log::error!("malformed record {}", row.key);
             return;
         };
-        let mut core = self.core();
-        let core = &mut *core;
-        core.finals
-            .note(id, JobView::of_final(record.state, record.tasks));
-        if let Some(cluster) = &mut core.cluster
-            && let Some(job) = cluster.jobs.find(id)
-        {
-            cluster.finish(job, record.state);
-            cluster.forget_job(id);
-        }
+        let view = JobView::of_final(record.state, record.tasks);
+        self.core().finals.note(id, view);
+        self.in_cluster(term, |cluster| {
+            if let Some(job) = cluster.jobs.find(id) {
+                cluster.finish(job, record.state);
+                cluster.forget_job(id);
+            }
+        });
     }
 }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -62,6 +62,28 @@
     format!("final/{id}")
 }
 
+/// What is known of a final state that was sent to the record.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Deciding {
+    /// None is on its way.
+    #[default]
+    No,
+    /// It is under way.
+    Sent,
+    /// One got no answer: it may have been applied, or may yet be.
+    Unknown,
+}
+
+/// What a leader can say of a job by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Known {
+    View(JobView),
+    /// A final state is on its way to the record. Another node may have read it there, and told it
+    /// to a user, before its writer knows: until then only the record tells.
+    Deciding,
+    Nothing,
+}
+
 /// What a user may be told of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, borsh::BorshSerialize, borsh::BorshDeserialize)]
 pub struct JobView {
@@ -131,6 +153,7 @@
     pub job_stamp: u64,
     pub outcome: Option<Outcome>,
     pub cancel_asked: bool,
+    pub deciding: Deciding,
     /// Attempts that may be on a machine, by task.
     bound: HashMap<u32, u16>,
     /// How many of these tasks have no outcome.
@@ -352,6 +375,7 @@
         job_stamp,
         outcome: None,
         cancel_asked: false,
+        deciding: Deciding::No,
         bound: HashMap::new(),
         bound_open: 0,
         bound_attempts: 0,
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -1,6 +1,6 @@
 //! Write rounds: which records are due, most urgent first, packed into few transactions.
 
-use super::{DoneRecord, FinalRecord, Job, JobId, Outcome, done_key, final_key, job_key};
+use super::{Deciding, DoneRecord, FinalRecord, Job, JobId, Outcome, done_key, final_key, job_key};
 use crate::cluster::Cluster;
 use crate::state_store::pages::PageImage;
 use crate::state_store::{Change, Guard, to_value};
@@ -180,6 +180,37 @@
             .any(|(_, a)| a.direct != Direct::Settled)
     }
 
+    /// These writes are about to be sent.
+    pub fn sending(&mut self, writes: &[Write]) {
+        self.decide(writes, |was| match was {
+            Deciding::No => Deciding::Sent,
+            was => was,
+        });
+    }
+
+    /// These writes were surely not carried out.
+    pub fn not_written(&mut self, writes: &[Write]) {
+        self.decide(writes, |was| match was {
+            Deciding::Sent => Deciding::No,
+            was => was,
+        });
+    }
+
+    /// These writes got no answer: they may have been carried out, or may yet be.
+    pub fn unanswered(&mut self, writes: &[Write]) {
+        self.decide(writes, |_| Deciding::Unknown);
+    }
+
+    fn decide(&mut self, writes: &[Write], next: impl Fn(Deciding) -> Deciding) {
+        for write in writes {
+            if let WriteKind::Final(id, _) | WriteKind::Retire(id, _) = &write.kind
+                && let Some(job) = self.jobs.table.get_mut(id)
+            {
+                job.deciding = next(job.deciding);
+            }
+        }
+    }
+
     /// A write was committed at this revision.
     pub fn written(&mut self, write: &Write, epoch: u64) {
         match &write.kind {
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -1,7 +1,9 @@
 //! What users ask: submit, status, withdraw and `/up`.
 
 use super::spec::{Refusal, Submission, is_ref};
-use super::{DoneRecord, FULL_KEY, FinalRecord, JobView, ViewState, done_key, final_key, job_key};
+use super::{
+    DoneRecord, FULL_KEY, FinalRecord, JobView, Known, ViewState, done_key, final_key, job_key,
+};
 use crate::http::cbor::{decode, encode};
 use crate::http::server::Response;
 use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest};
@@ -88,6 +90,9 @@
 const ALONE: Micros = Micros::from_secs(6);
 /// Users wait two seconds for a status: what can't be found out by then is said to be unknown.
 const LOOKUP_TIME: Micros = Micros::from_millis(1600);
+/// How long users' questions about a job wait while its final state is being recorded: the answer
+/// mostly comes within this, and there is time left to read the record.
+const DECIDING_TIME: Micros = Micros::from_millis(300);
 /// Reads for users are given up sooner than others, so that a peer can still be asked.
 const READ_TIME: Duration = Duration::from_millis(700);
 /// A withdrawal is answered once it is recorded, or else refused after this.
@@ -127,8 +132,15 @@
             Err(refusal) => return self.refuse(ref_of(body).as_deref(), refusal),
         };
         let id = submission.id.clone();
-        if let Some(view) = self.view_here(&id) {
-            return short(200, &id, view.state);
+        match self.known_here(&id) {
+            Known::View(view) => return short(200, &id, view.state),
+            Known::Deciding => {
+                return match self.lookup(&id) {
+                    Lookup::Job(view) => short(200, &id, view.state),
+                    _ => Response::busy(RETRY_S),
+                };
+            }
+            Known::Nothing => {}
         }
         let Some(catalog) = self.catalog() else {
             return Response::busy(RETRY_S);
@@ -201,7 +213,7 @@
 
     /// A peer that the state service refuses asks this node to read.
     pub fn read_for_peer(&self, id: &str) -> PeerReply {
-        if let Some(view) = self.view_here(id) {
+        if let Known::View(view) = self.known_here(id) {
             return PeerReply::Job(view);
         }
         match self.read_job(id, self.now() + PEER_TIME) {
@@ -280,7 +292,10 @@
         if !is_ref(id) {
             return Some(Response::new(404, Vec::new()));
         }
-        self.view_here(id).map(|view| told(id, view))
+        match self.known_here(id) {
+            Known::View(view) => Some(told(id, view)),
+            Known::Deciding | Known::Nothing => None,
+        }
     }
 
     pub fn status(&self, id: &str) -> Response {
@@ -339,9 +354,9 @@
             }
             let now = self.now();
             match core.acting(now).map(|(_, c)| c.view(id)) {
-                Some(Some(view)) if view.is_final() => return PeerReply::Job(view),
-                Some(Some(_)) => {}
-                _ => return PeerReply::Busy,
+                Some(Known::View(view)) if view.is_final() => return PeerReply::Job(view),
+                Some(Known::View(_) | Known::Deciding) => {}
+                Some(Known::Nothing) | None => return PeerReply::Busy,
             }
             let Some(left) = left(&*self.os, deadline) else {
                 return PeerReply::Busy;
@@ -352,12 +367,30 @@
     }
 
     /// What this node may tell by itself.
-    fn view_here(&self, id: &str) -> Option<JobView> {
-        let mut core = self.core();
+    fn known_here(&self, id: &str) -> Known {
+        self.known_of(&mut self.core(), id)
+    }
+
+    fn known_of(&self, core: &mut Core, id: &str) -> Known {
         let now = self.now();
-        core.finals
-            .get(id)
-            .or_else(|| core.acting(now).and_then(|(_, c)| c.view(id)))
+        match (core.finals.get(id), core.acting(now)) {
+            (Some(view), _) => Known::View(view),
+            (None, Some((_, cluster))) => cluster.view(id),
+            (None, None) => Known::Nothing,
+        }
+    }
+
+    /// The same, but waits for a while for what is just being decided.
+    fn decided_here(&self, id: &str) -> Known {
+        let deadline = self.now() + DECIDING_TIME;
+        loop {
+            let mut core = self.core();
+            let known = self.known_of(&mut core, id);
+            match left(&*self.os, deadline) {
+                Some(left) if known == Known::Deciding => self.await_change(core, left),
+                _ => return known,
+            }
+        }
     }
 
     fn ask_leader(&self, request: &PeerRequest, timeout: Duration) -> Option<PeerReply> {
@@ -371,32 +404,36 @@
         }
     }
 
+    /// Finds out about a job. What took a while to find out may be older than what this node has
+    /// learnt meanwhile, so final states are looked at last.
     pub fn lookup(&self, id: &str) -> Lookup {
-        if let Some(view) = self.view_here(id) {
-            return Lookup::Job(view);
+        let found = self.look_for(id);
+        let mut core = self.core();
+        if let Lookup::Job(view) = &found {
+            core.finals.note(id, *view);
         }
+        core.finals.get(id).map_or(found, Lookup::Job)
+    }
+
+    fn look_for(&self, id: &str) -> Lookup {
         let deadline = self.now() + LOOKUP_TIME;
+        if let Known::View(view) = self.decided_here(id) {
+            return Lookup::Job(view);
+        }
         let request = PeerRequest::Status { id: id.to_string() };
         if let Some(PeerReply::Job(view)) = self.ask_leader(&request, PEER_TIME.duration()) {
-            self.core().finals.note(id, view);
             return Lookup::Job(view);
         }
         if self.store.answers(self.now()) {
             match self.read_job(id, deadline) {
-                Ok(Some(view)) => {
-                    self.core().finals.note(id, view);
-                    return Lookup::Job(view);
-                }
+                Ok(Some(view)) => return Lookup::Job(view),
                 Ok(None) => return Lookup::Absent,
                 Err(e) => log::debug!("{id} can't be looked up here: {e}"),
             }
         }
         let request = PeerRequest::Read { id: id.to_string() };
         match self.ask_any(&request, deadline) {
-            Some(PeerReply::Job(view)) => {
-                self.core().finals.note(id, view);
-                Lookup::Job(view)
-            }
+            Some(PeerReply::Job(view)) => Lookup::Job(view),
             Some(PeerReply::Absent) => Lookup::Absent,
             _ => Lookup::Undecided,
         }
--- a/src/leadership/peer.rs
+++ b/src/leadership/peer.rs
@@ -28,7 +28,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum PeerReply {
     Job(JobView),
-    /// The leader holds no such job: it is over, new, or was never accepted.
+    /// The leader can't tell: the job is over, new, was never accepted, or is just about to end.
+    /// The state service knows.
     Unknown,
     NotLeading,
     /// The state service holds no such job.
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,7 +4,7 @@
 use crate::cluster::{Cluster, ClusterConfig};
 use crate::fleet::MachineType;
 use crate::http::server::{Handler, Limits, Request, Response, serve};
-use crate::jobs::JobView;
+use crate::jobs::{JobView, Known};
 use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest, serve_peers};
 use crate::leadership::{Lead, LeaderRecord};
 use crate::os::{HttpClient, Os, Signal, System};
@@ -13,7 +13,7 @@
 use crate::state_store::bucket::TokenBucket;
 use crate::time::{Micros, Moment};
 use crate::workers::edge::WorkerClients;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -111,7 +111,7 @@
     /// Signalled when orders may go straight to workers.
     pub poked: Arc<dyn Signal>,
     pub workers: WorkerClients,
-    pub peers: HashMap<String, PeerClient>,
+    pub peers: BTreeMap<String, PeerClient>,
     pub submit_tokens: Mutex<TokenBucket>,
     pub cloud_tokens: Mutex<TokenBucket>,
     pub catalog: Mutex<Option<Arc<Vec<MachineType>>>>,
@@ -304,9 +304,10 @@
                     return PeerReply::Job(view);
                 }
                 match core.acting(now) {
-                    Some((_, cluster)) => {
-                        cluster.view(&id).map_or(PeerReply::Unknown, PeerReply::Job)
-                    }
+                    Some((_, cluster)) => match cluster.view(&id) {
+                        Known::View(view) => PeerReply::Job(view),
+                        Known::Deciding | Known::Nothing => PeerReply::Unknown,
+                    },
                     None => PeerReply::NotLeading,
                 }
             }
--- /dev/null
+++ b/tests/common/keys.rs
@@ -0,0 +1,238 @@
+//! The state service's keys, holds and log, as the published protocol tells of them. Time is handed
+//! in, so that stand-ins on real time and the model on simulated time share it.
+
+use aspenreel::http::cbor::{decode, encode};
+use ciborium::{Value, cbor};
+use serde::Deserialize;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+#[derive(Default)]
+pub struct Keys {
+    /// Data, revision, hold.
+    pub rows: BTreeMap<String, (Value, u64, Option<u64>)>,
+    log: Vec<(u64, String, Option<Value>)>,
+    /// When each hold ends, and its life.
+    holds: BTreeMap<u64, (Duration, Duration)>,
+    next_hold: u64,
+    epoch: u64,
+}
+
+#[derive(Deserialize)]
+struct Multi {
+    guards: Vec<GuardIn>,
+    apply: Vec<ChangeIn>,
+}
+
+#[derive(Deserialize)]
+struct GuardIn {
+    key: String,
+    stamp: u64,
+}
+
+#[derive(Deserialize)]
+struct ChangeIn {
+    write: Option<String>,
+    delete: Option<String>,
+    data: Option<Value>,
+    permit: Option<u64>,
+}
+
+pub type Answer = (u16, Vec<u8>);
+
+pub fn answer(status: u16, value: Result<Value, ciborium::value::Error>) -> Answer {
+    (status, encode(&value.unwrap()))
+}
+
+fn query(path: &str) -> HashMap<&str, &str> {
+    let text = path.split_once('?').map_or("", |(_, q)| q);
+    text.split('&').filter_map(|p| p.split_once('=')).collect()
+}
+
+/// What a watch asks for.
+pub struct Watch {
+    pub starts: String,
+    pub since: u64,
+    pub hold: Duration,
+}
+
+impl Watch {
+    pub fn of(path: &str) -> Watch {
+        let q = query(path);
+        Watch {
+            starts: q["starts"].into(),
+            since: q["since"].parse().unwrap(),
+            hold: Duration::from_millis(q["holdMs"].parse().unwrap()),
+        }
+    }
+}
+
+impl Keys {
+    pub fn data(&self, key: &str) -> Option<Value> {
+        self.rows.get(key).map(|r| r.0.clone())
+    }
+
+    fn end_hold(&mut self, permit: u64) -> bool {
+        let had = self.holds.remove(&permit).is_some();
+        let keys: Vec<String> = self
+            .rows
+            .iter()
+            .filter(|(_, r)| r.2 == Some(permit))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in keys {
+            self.epoch += 1;
+            self.rows.remove(&key);
+            self.log.push((self.epoch, key, None));
+        }
+        had
+    }
+
+    /// Ends the holds that have run out; true if there were any.
+    pub fn expire(&mut self, now: Duration) -> bool {
+        let over: Vec<u64> = self
+            .holds
+            .iter()
+            .filter(|(_, (end, _))| *end <= now)
+            .map(|(p, _)| *p)
+            .collect();
+        for permit in &over {
+            self.end_hold(*permit);
+        }
+        !over.is_empty()
+    }
+
+    /// When the next hold runs out.
+    pub fn next_end(&self) -> Option<Duration> {
+        self.holds.values().map(|(end, _)| *end).min()
+    }
+
+    /// After an outage every hold has its full time again.
+    pub fn refresh(&mut self, now: Duration) {
+        for (end, life) in self.holds.values_mut() {
+            *end = now + *life;
+        }
+    }
+
+    pub fn multi(&mut self, body: &[u8]) -> Answer {
+        let multi: Multi = decode(body).unwrap();
+        for change in &multi.apply {
+            if change.permit.is_some_and(|p| !self.holds.contains_key(&p)) {
+                return answer(400, cbor!({"error" => "no such lease"}));
+            }
+        }
+        let failed: Vec<&str> = multi
+            .guards
+            .iter()
+            .filter(|g| self.rows.get(&g.key).map_or(0, |r| r.1) != g.stamp)
+            .map(|g| g.key.as_str())
+            .collect();
+        if !failed.is_empty() {
+            return answer(409, cbor!({"failed" => failed, "epoch" => self.epoch}));
+        }
+        self.epoch += 1;
+        let epoch = self.epoch;
+        for change in multi.apply {
+            if let Some(key) = change.write {
+                let data = change.data.unwrap_or(Value::Null);
+                let row = (data.clone(), epoch, change.permit);
+                self.rows.insert(key.clone(), row);
+                self.log.push((epoch, key, Some(data)));
+            } else if let Some(key) = change.delete {
+                self.rows.remove(&key);
+                self.log.push((epoch, key, None));
+            }
+        }
+        answer(200, cbor!({"epoch" => epoch}))
+    }
+
+    /// What a watch is told now; None if there is nothing yet.
+    pub fn changes(&self, watch: &Watch) -> Option<Answer> {
+        let seen = self.log.partition_point(|(e, _, _)| *e <= watch.since);
+        let log: Vec<Value> = self.log[seen..]
+            .iter()
+            .filter(|(_, key, _)| key.starts_with(&watch.starts))
+            .map(|(e, key, data)| match data {
+                Some(d) => cbor!({"write" => key, "data" => d, "stamp" => e}).unwrap(),
+                None => cbor!({"delete" => key, "stamp" => e}).unwrap(),
+            })
+            .collect();
+        (!log.is_empty()).then(|| answer(200, cbor!({"epoch" => self.epoch, "log" => log})))
+    }
+
+    /// What a watch is told when its time is over.
+    pub fn no_changes(&self) -> Answer {
+        let log: [Value; 0] = [];
+        answer(200, cbor!({"epoch" => self.epoch, "log" => log}))
+    }
+
+    pub fn range(&self, path: &str) -> Answer {
+        let q = query(path);
+        let most: usize = q["most"].parse().unwrap();
+        let found: Vec<_> = self
+            .rows
+            .iter()
+            .filter(|(key, _)| key.starts_with(q["starts"]))
+            .filter(|(key, _)| q.get("since").is_none_or(|s| key.as_str() > *s))
+            .take(most + 1)
+            .map(|(key, r)| cbor!({"key" => key, "data" => r.0, "stamp" => r.1}).unwrap())
+            .collect();
+        let more = found.len() > most;
+        let rows: Vec<_> = found.into_iter().take(most).collect();
+        answer(
+            200,
+            cbor!({"rows" => rows, "more" => more, "epoch" => self.epoch}),
+        )
+    }
+
+    pub fn get(&self, key: &str) -> Answer {
+        match self.rows.get(key) {
+            Some((data, stamp, permit)) => answer(
+                200,
+                cbor!({"key" => key, "data" => data, "stamp" => stamp, "permit" => permit}),
+            ),
+            None => answer(404, cbor!({"epoch" => self.epoch})),
+        }
+    }
+
+    /// `/holds`, and what follows that in the path.
+    pub fn holds(&mut self, method: &str, rest: &str, body: &[u8], now: Duration) -> Answer {
+        if rest.is_empty() {
+            #[derive(Deserialize)]
+            struct Life {
+                #[serde(rename = "lifeMs")]
+                life_ms: u64,
+            }
+            let life: Life = decode(body).unwrap();
+            let life = Duration::from_millis(life.life_ms);
+            self.next_hold += 1;
+            self.holds.insert(self.next_hold, (now + life, life));
+            return answer(200, cbor!({"permit" => self.next_hold}));
+        }
+        let mut parts = rest.trim_start_matches('/').split('/');
+        let permit: u64 = parts.next().unwrap().parse().unwrap();
+        if method == "DELETE" {
+            return (if self.end_hold(permit) { 200 } else { 404 }, Vec::new());
+        }
+        match self.holds.get_mut(&permit) {
+            Some((end, life)) => {
+                *end = now + *life;
+                (200, Vec::new())
+            }
+            None => (404, Vec::new()),
+        }
+    }
+
+    /// Everything but watches.
+    pub fn call(&mut self, method: &str, path: &str, body: &[u8], now: Duration) -> Answer {
+        self.expire(now);
+        match path.split('?').next().unwrap() {
+            "/multi" => self.multi(body),
+            "/store" => self.range(path),
+            plain => match plain.strip_prefix("/holds") {
+                Some(rest) => self.holds(method, rest, body, now),
+                None => self.get(plain.strip_prefix("/store/").unwrap()),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/tests/model/checker.rs
@@ -0,0 +1,497 @@
+//! The protocol's rules, as somebody sees them who only knows what users were told and what is on
+//! machines. It knows nothing of what controllers hold in memory or on record.
+
+use crate::sched::{Time, secs};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a user submits, as far as the rules and the machines need it.
+#[derive(Clone, Debug)]
+pub struct JobPlan {
+    pub id: String,
+    pub team: String,
+    pub tasks: u32,
+    pub cpus: f64,
+    pub run_s: f64,
+    /// Each task runs by so much longer than the one before.
+    pub more_s: f64,
+    /// A task saves within this when it is stopped; 0: it never saves.
+    pub save_s: f64,
+    pub zone: Option<String>,
+    pub one_zone: bool,
+    pub spread: bool,
+    pub spot: bool,
+    pub rank: &'static str,
+}
+
+impl JobPlan {
+    pub fn new(id: u32, tasks: u32, cpus: f64, run_s: f64) -> JobPlan {
+        JobPlan {
+            id: format!("run-{id}"),
+            team: "a".into(),
+            tasks,
+            cpus,
+            run_s,
+            more_s: 0.0,
+            save_s: 0.0,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            rank: "normal",
+        }
+    }
+}
+
+/// Where a task is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    pub machine: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Question {
+    Submit,
+    /// A body with the job's name that can't be accepted by itself.
+    BadSubmit,
+    Status,
+    Cancel,
+}
+
+/// An answer that a user got in time.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub question: Question,
+    pub node: usize,
+    pub sent: Time,
+    pub got: Time,
+    pub status: u16,
+    pub state: Option<String>,
+}
+
+#[derive(Debug)]
+struct Facts {
+    plan: JobPlan,
+    accepted: Option<Time>,
+    /// A final state, and when a user knew it.
+    ended: Option<(String, Time)>,
+    cancel_asked: bool,
+    done: BTreeSet<u32>,
+    on: BTreeMap<u32, BTreeSet<Place>>,
+    /// When it was last answered about, and since when users asked in vain.
+    unanswered_since: Option<Time>,
+}
+
+#[derive(Debug, Default)]
+pub struct Checker {
+    jobs: BTreeMap<String, Facts>,
+    limits: BTreeMap<String, f64>,
+    cancel: Time,
+    pub broken: Vec<String>,
+    /// Starts after a user knew that the job is cancelled, within the time for it.
+    pub late_starts: Vec<String>,
+    pub starts: u32,
+    pub told_cancelled: u32,
+    pub told_done: u32,
+}
+
+impl Checker {
+    pub fn new(limits: &[(&str, f64)], cancel_s: f64) -> Checker {
+        Checker {
+            limits: limits.iter().map(|(n, l)| (n.to_string(), *l)).collect(),
+            cancel: secs(cancel_s),
+            ..Checker::default()
+        }
+    }
+
+    fn note(&mut self, now: Time, rule: &str, text: String) {
+        self.broken
+            .push(format!("{:.3} {rule}: {text}", now as f64 / 1e6));
+    }
+
+    pub fn submitted(&mut self, plan: &JobPlan) {
+        let facts = Facts {
+            plan: plan.clone(),
+            accepted: None,
+            ended: None,
+            cancel_asked: false,
+            done: BTreeSet::new(),
+            on: BTreeMap::new(),
+            unanswered_since: None,
+        };
+        self.jobs.entry(plan.id.clone()).or_insert(facts);
+    }
+
+    pub fn asks_cancel(&mut self, id: &str) {
+        if let Some(f) = self.jobs.get_mut(id) {
+            f.cancel_asked = true;
+        }
+    }
+
+    /// No answer in time, or one that tells nothing.
+    pub fn in_vain(&mut self, id: &str, question: Question, sent: Time, now: Time) {
+        let Some(f) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if question == Question::Status && f.accepted.is_some_and(|t| t <= sent) {
+            let since = *f.unanswered_since.get_or_insert(sent);
+            if now - since > secs(90.0) {
+                let text = format!("{id}: not answered about for 90 s");
+                self.note(now, "forgotten", text);
+            }
+        }
+    }
+
+    pub fn told(&mut self, id: &str, told: &Told) {
+        let now = told.got;
+        let text = format!(
+            "{id}: {:?} at node {} got {} {:?}, asked at {:.3}",
+            told.question,
+            told.node,
+            told.status,
+            told.state,
+            told.sent as f64 / 1e6
+        );
+        let Some(f) = self.jobs.get_mut(id) else {
+            if matches!(told.status, 200 | 201) {
+                self.note(now, "invented", text);
+            }
+            return;
+        };
+        let mut rules = Vec::new();
+        let known = f.accepted.is_some_and(|t| t <= told.sent);
+        match (told.question, told.status) {
+            (_, 200 | 201) => {
+                f.unanswered_since = None;
+                if f.accepted.is_none() && told.question != Question::BadSubmit {
+                    f.accepted = Some(now);
+                }
+            }
+            (Question::Submit | Question::BadSubmit, 400 | 422) if known => rules.push("forgotten"),
+            (Question::Status | Question::Cancel, 404) if known => rules.push("forgotten"),
+            _ => {}
+        }
+        if let Some(state) = &told.state {
+            if let Some((ended, at)) = &f.ended
+                && *at <= told.sent
+                && ended != state
+            {
+                rules.push("went_back");
+            }
+            if state == "cancelled" && !f.cancel_asked {
+                rules.push("went_back");
+            }
+            if state == "done" && f.done.len() < f.plan.tasks as usize {
+                rules.push("not_done");
+            }
+            if matches!(state.as_str(), "done" | "cancelled") {
+                if f.ended.is_none() {
+                    match state.as_str() {
+                        "done" => self.told_done += 1,
+                        _ => self.told_cancelled += 1,
+                    }
+                    f.ended = Some((state.clone(), now));
+                } else if f.ended.as_ref().is_some_and(|(s, _)| s != state)
+                    && !rules.contains(&"went_back")
+                {
+                    // Whatever the order of the questions, no job ends in two ways.
+                    rules.push("went_back");
+                }
+            }
+        }
+        for rule in rules {
+            self.note(now, rule, text.clone());
+        }
+    }
+
+    /// A task has its image and starts.
+    pub fn starts(&mut self, id: &str, task: u32, place: &Place, now: Time) {
+        self.starts += 1;
+        let Some(f) = self.jobs.get_mut(id) else {
+            let text = format!("{id}/{task}: nobody submitted it");
+            return self.note(now, "invented", text);
+        };
+        let mut found = Vec::new();
+        if let Some(others) = f.on.get(&task)
+            && !others.is_empty()
+        {
+            found.push(("ran_twice", format!("{others:?} and {place:?}")));
+        }
+        if let Some((state, at)) = &f.ended
+            && state == "cancelled"
+        {
+            if now > at + self.cancel {
+                found.push(("ran_cancelled", format!("starts on {}", place.machine)));
+            } else {
+                let text = format!("{id}/{task} on {} after {} us", place.machine, now - at);
+                self.late_starts.push(text);
+            }
+        }
+        let p = &f.plan;
+        let others: Vec<&Place> =
+            f.on.iter()
+                .filter(|(t, _)| **t != task)
+                .flat_map(|(_, places)| places)
+                .collect();
+        let elsewhere = others.iter().any(|o| o.zone != place.zone);
+        let here = others.iter().filter(|o| o.zone == place.zone).count() as u32 + 1;
+        if (place.spot && !p.spot)
+            || p.zone.as_ref().is_some_and(|z| *z != place.zone)
+            || (p.one_zone && elsewhere)
+            || (p.spread && here > p.tasks.div_ceil(2))
+        {
+            found.push(("wrong_place", format!("{place:?} beside {others:?}")));
+        }
+        let team = p.team.clone();
+        f.on.entry(task).or_default().insert(place.clone());
+        let used = self.used(&team);
+        if self.limits.get(&team).is_some_and(|l| used > l + 1e-6) {
+            found.push(("quota", format!("team {team} uses {used} CPUs")));
+        }
+        for (rule, text) in found {
+            self.note(now, rule, format!("{id}/{task} {text}"));
+        }
+    }
+
+    /// A task's place is empty again; `done`: it ended well.
+    pub fn leaves(&mut self, id: &str, task: u32, machine: &str, done: bool) {
+        let Some(f) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if let Some(places) = f.on.get_mut(&task) {
+            places.retain(|p| p.machine != machine);
+            if places.is_empty() {
+                f.on.remove(&task);
+            }
+        }
+        if done {
+            f.done.insert(task);
+        }
+    }
+
+    /// What time alone breaks.
+    pub fn look(&mut self, now: Time) {
+        let mut found = Vec::new();
+        for (id, f) in &self.jobs {
+            if let Some((state, at)) = &f.ended
+                && state == "cancelled"
+                && now > at + self.cancel
+            {
+                for (task, places) in &f.on {
+                    found.push(format!("{id}/{task} is on {places:?}"));
+                }
+            }
+        }
+        for text in found {
+            self.note(now, "ran_cancelled", text);
+        }
+    }
+
+    pub fn used(&self, team: &str) -> f64 {
+        let jobs = self.jobs.values().filter(|f| f.plan.team == team);
+        jobs.map(|f| f.plan.cpus * f.on.values().map(BTreeSet::len).sum::<usize>() as f64)
+            .sum()
+    }
+
+    pub fn limit(&self, team: &str) -> f64 {
+        self.limits[team]
+    }
+
+    /// Accepted jobs that users don't know to have ended.
+    pub fn open(&self) -> Vec<&JobPlan> {
+        let open = |f: &&Facts| f.accepted.is_some() && f.ended.is_none();
+        self.jobs.values().filter(open).map(|f| &f.plan).collect()
+    }
+
+    /// Accepted jobs that nobody cancelled and that have tasks neither done nor on a machine.
+    pub fn waiting(&self) -> Vec<&JobPlan> {
+        let waits = |f: &&Facts| {
+            let placed: BTreeSet<u32> = f.done.iter().chain(f.on.keys()).copied().collect();
+            f.accepted.is_some()
+                && f.ended.is_none()
+                && !f.cancel_asked
+                && placed.len() < f.plan.tasks as usize
+        };
+        self.jobs.values().filter(waits).map(|f| &f.plan).collect()
+    }
+
+    pub fn is_accepted(&self, id: &str) -> bool {
+        self.jobs.get(id).is_some_and(|f| f.accepted.is_some())
+    }
+
+    /// All of its tasks have ended well.
+    pub fn all_done(&self, id: &str) -> bool {
+        let full = |f: &Facts| f.done.len() == f.plan.tasks as usize;
+        self.jobs.get(id).is_some_and(full)
+    }
+
+    pub fn ended(&self, id: &str) -> Option<&str> {
+        let (state, _) = self.jobs.get(id)?.ended.as_ref()?;
+        Some(state)
+    }
+
+    /// Tasks of a job that are on machines.
+    pub fn on(&self, id: &str) -> usize {
+        self.jobs
+            .get(id)
+            .map_or(0, |f| f.on.values().map(BTreeSet::len).sum())
+    }
+}
+
+/// Each rule has a case in which it fires.
+mod fires {
+    use super::*;
+
+    fn place(machine: &str, zone: &str) -> Place {
+        Place {
+            machine: machine.into(),
+            zone: zone.into(),
+            spot: true,
+        }
+    }
+
+    fn told(question: Question, sent: f64, got: f64, status: u16, state: &str) -> Told {
+        Told {
+            question,
+            node: 0,
+            sent: secs(sent),
+            got: secs(got),
+            status,
+            state: (!state.is_empty()).then(|| state.to_string()),
+        }
+    }
+
+    fn accepted(edit: impl Fn(&mut JobPlan)) -> Checker {
+        let mut c = Checker::new(&[("a", 8.0)], 40.0);
+        let mut plan = JobPlan::new(1, 2, 4.0, 10.0);
+        edit(&mut plan);
+        c.submitted(&plan);
+        c.told("run-1", &told(Question::Submit, 0.0, 1.0, 201, "queued"));
+        assert_eq!(c.broken, Vec::<String>::new());
+        c
+    }
+
+    fn rules(c: &Checker) -> Vec<&str> {
+        let word = |text: &String| -> usize { text.find(' ').unwrap() + 1 };
+        let rule = |t| -> &str { &t[word(t)..t.find(": ").unwrap()] };
+        c.broken.iter().map(|t: &String| rule(t)).collect()
+    }
+
+    #[test]
+    fn a_task_on_two_machines() {
+        let mut c = accepted(|_| ());
+        c.starts("run-1", 0, &place("m", "east"), secs(2.0));
+        c.leaves("run-1", 0, "m", false);
+        c.starts("run-1", 0, &place("n", "east"), secs(3.0));
+        assert_eq!(rules(&c), [""; 0]);
+        c.starts("run-1", 0, &place("m", "east"), secs(4.0));
+        assert_eq!(rules(&c), ["ran_twice"]);
+    }
+
+    #[test]
+    fn more_than_the_team_may_use() {
+        let mut c = accepted(|p| p.tasks = 3);
+        for task in 0..2 {
+            c.starts("run-1", task, &place("m", "east"), secs(2.0));
+        }
+        assert_eq!(rules(&c), [""; 0]);
+        c.starts("run-1", 2, &place("n", "east"), secs(3.0));
+        assert_eq!(rules(&c), ["quota"]);
+    }
+
+    #[test]
+    fn places_that_the_job_does_not_allow() {
+        let mut c = accepted(|p| p.zone = Some("west".into()));
+        c.starts("run-1", 0, &place("m", "east"), secs(2.0));
+        let mut spot = accepted(|p| p.spot = false);
+        spot.starts("run-1", 0, &place("m", "east"), secs(2.0));
+        let mut same = accepted(|p| p.one_zone = true);
+        same.starts("run-1", 0, &place("m", "east"), secs(2.0));
+        same.starts("run-1", 1, &place("n", "west"), secs(3.0));
+        let mut spread = accepted(|p| p.spread = true);
+        spread.starts("run-1", 0, &place("m", "east"), secs(2.0));
+        spread.starts("run-1", 1, &place("n", "east"), secs(3.0));
+        for c in [c, spot, same, spread] {
+            assert_eq!(rules(&c), ["wrong_place"]);
+        }
+    }
+
+    #[test]
+    fn tasks_of_a_cancelled_job() {
+        let mut c = accepted(|_| ());
+        c.starts("run-1", 0, &place("m", "east"), secs(2.0));
+        c.asks_cancel("run-1");
+        c.told("run-1", &told(Question::Cancel, 3.0, 4.0, 200, "cancelled"));
+        c.starts("run-1", 1, &place("m", "east"), secs(5.0));
+        c.look(secs(44.0));
+        assert_eq!((rules(&c), c.late_starts.len()), (vec![], 1));
+        c.leaves("run-1", 1, "m", false);
+        c.look(secs(44.1));
+        c.leaves("run-1", 0, "m", false);
+        c.look(secs(44.2));
+        c.starts("run-1", 1, &place("m", "east"), secs(45.0));
+        assert_eq!(rules(&c), ["ran_cancelled"; 2]);
+    }
+
+    #[test]
+    fn jobs_that_are_forgotten() {
+        let mut c = accepted(|_| ());
+        c.told("run-1", &told(Question::Status, 0.5, 2.0, 404, ""));
+        assert_eq!(
+            rules(&c),
+            [""; 0],
+            "it was asked before the job was accepted"
+        );
+        c.told("run-1", &told(Question::Status, 2.0, 2.1, 404, ""));
+        c.told("run-1", &told(Question::BadSubmit, 2.0, 2.1, 400, ""));
+        c.told("run-1", &told(Question::Submit, 2.0, 2.1, 422, ""));
+        c.told("run-1", &told(Question::Cancel, 2.0, 2.1, 404, ""));
+        assert_eq!(rules(&c), ["forgotten"; 4]);
+        let mut c = accepted(|_| ());
+        c.in_vain("run-1", Question::Status, secs(5.0), secs(7.0));
+        c.in_vain("run-1", Question::Status, secs(95.0), secs(96.0));
+        assert_eq!(rules(&c), ["forgotten"]);
+    }
+
+    #[test]
+    fn jobs_that_nobody_submitted() {
+        let mut c = accepted(|_| ());
+        c.told("run-2", &told(Question::Status, 2.0, 3.0, 404, ""));
+        assert_eq!(rules(&c), [""; 0]);
+        c.told("run-2", &told(Question::Status, 2.0, 3.0, 200, "queued"));
+        c.starts("run-2", 0, &place("m", "east"), secs(2.0));
+        assert_eq!(rules(&c), ["invented"; 2]);
+    }
+
+    #[test]
+    fn jobs_called_done_too_soon() {
+        let mut c = accepted(|_| ());
+        c.leaves("run-1", 0, "m", true);
+        c.told("run-1", &told(Question::Status, 2.0, 3.0, 200, "done"));
+        assert_eq!(rules(&c), ["not_done"]);
+    }
+
+    #[test]
+    fn answers_that_go_back() {
+        let done = || {
+            let mut c = accepted(|_| ());
+            c.leaves("run-1", 0, "m", true);
+            c.leaves("run-1", 1, "m", true);
+            c.told("run-1", &told(Question::Status, 2.0, 3.0, 200, "done"));
+            c
+        };
+        let mut c = done();
+        c.told("run-1", &told(Question::Status, 2.9, 3.1, 200, "running"));
+        assert_eq!(rules(&c), [""; 0], "it was asked before");
+        c.told("run-1", &told(Question::Status, 3.0, 3.1, 200, "running"));
+        assert_eq!(rules(&c), ["went_back"]);
+        let mut c = done();
+        c.asks_cancel("run-1");
+        c.told("run-1", &told(Question::Cancel, 2.9, 3.1, 200, "cancelled"));
+        assert_eq!(rules(&c), ["went_back"], "it ended in two ways");
+        let mut c = accepted(|_| ());
+        c.told("run-1", &told(Question::Status, 2.0, 3.0, 200, "cancelled"));
+        assert_eq!(rules(&c), ["went_back"], "nobody cancelled it");
+    }
+}
--- /dev/null
+++ b/tests/model/log.rs
@@ -0,0 +1,37 @@
+//! What the controllers of the model log, with simulated time, when `MODEL_LOG` asks for it.
+
+use crate::sched::Sched;
+use log::{LevelFilter, Log, Metadata, Record};
+use std::sync::{Arc, Mutex, Weak};
+
+struct Lines(Mutex<Weak<Sched>>);
+
+static LINES: Lines = Lines(Mutex::new(Weak::new()));
+
+impl Log for Lines {
+    fn enabled(&self, _: &Metadata) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record) {
+        let now = crate::sched::lock(&self.0).upgrade().map_or(0, |s| s.now());
+        let text = record.args();
+        eprintln!("{:>9.3} {text}", now as f64 / 1e6);
+    }
+
+    fn flush(&self) {}
+}
+
+pub fn follow(sched: &Arc<Sched>) {
+    let Ok(level) = std::env::var("MODEL_LOG") else {
+        return;
+    };
+    let debug = level == "debug";
+    log::set_max_level(if debug {
+        LevelFilter::Debug
+    } else {
+        LevelFilter::Info
+    });
+    let _ = log::set_logger(&LINES);
+    *crate::sched::lock(&LINES.0) = Arc::downgrade(sched);
+}
--- /dev/null
+++ b/tests/model/main.rs
@@ -0,0 +1,77 @@
+//! Meetings of troubles, brought about in a model of several controllers (`docs/meetings.md`).
+
+mod checker;
+#[path = "../common/keys.rs"]
+mod keys;
+mod log;
+mod machines;
+mod meetings;
+mod net;
+mod sched;
+mod trouble;
+mod users;
+mod world;
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use world::{Setup, Summary, World};
+
+/// Plays a model with each seed, or with the one that `MODEL_SEED` names, several at once, and
+/// returns how each ended. No rule may break in any.
+#[track_caller]
+pub fn play(
+    seeds: u64,
+    setup: &Setup,
+    plan: impl Fn(&std::sync::Arc<World>, &mut fastrand::Rng) + Sync,
+) -> Vec<Summary> {
+    let seeds: Vec<u64> = match std::env::var("MODEL_SEED") {
+        Ok(seed) => vec![seed.parse().unwrap()],
+        Err(_) => (1..=seeds).collect(),
+    };
+    let next = AtomicUsize::new(0);
+    let ends: Mutex<Vec<(u64, Summary)>> = Mutex::default();
+    std::thread::scope(|scope| {
+        let workers = std::thread::available_parallelism().map_or(2, |n| n.get());
+        for _ in 0..workers.min(seeds.len()) {
+            scope.spawn(|| {
+                while let Some(seed) = seeds.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let w = World::new(*seed, setup.clone());
+                    plan(&w, &mut fastrand::Rng::with_seed(*seed));
+                    let end = w.finish();
+                    println!("seed {seed}: {end:?}");
+                    sched::lock(&ends).push((*seed, end));
+                }
+            });
+        }
+    });
+    let mut ends = std::mem::take(&mut *sched::lock(&ends));
+    ends.sort_by_key(|(seed, _)| *seed);
+    let broken: Vec<String> = ends
+        .iter()
+        .flat_map(|(seed, end)| end.broken.iter().map(move |b| format!("seed {seed}: {b}")))
+        .collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+    ends.into_iter().map(|(_, end)| end).collect()
+}
+
+/// Without any trouble every job runs to its end, each task once.
+#[test]
+fn a_quiet_day() {
+    let ends = play(3, &Setup::default(), |w, _| {
+        for i in 0..20 {
+            let plan = checker::JobPlan::new(i, 1 + i % 5, 2.0, 10.0);
+            w.submit(5.0 + f64::from(i), plan);
+        }
+    });
+    for end in ends {
+        assert_eq!((end.done, end.leaders, end.starts), (20, 1, 60), "{end:?}");
+    }
+}
+
+/// Whatever the seed draws: troubles that meet by chance.
+#[test]
+fn any_troubles() {
+    for end in play(24, &Setup::default(), trouble::draw) {
+        assert!(end.done + end.cancelled > 30, "{end:?}");
+    }
+}
--- /dev/null
+++ b/tests/model/meetings.rs
@@ -0,0 +1,687 @@
+//! Each meeting that the operators name, brought about on purpose, its times drawn by seeds.
+
+use crate::checker::JobPlan;
+use crate::play;
+use crate::world::{CANCEL_S, LEASE_S, Setup, World};
+use std::sync::Arc;
+
+const SEEDS: u64 = 8;
+
+fn setup() -> Setup {
+    Setup::default()
+}
+
+/// Jobs that come evenly from one second to another; their names.
+fn jobs(
+    w: &Arc<World>,
+    from: f64,
+    to: f64,
+    count: u32,
+    plan: impl Fn(u32, &mut JobPlan),
+) -> Vec<String> {
+    let every = (to - from) / f64::from(count);
+    let one = |i: u32| {
+        let mut p = JobPlan::new(i, 1 + i % 3, 2.0, 12.0);
+        plan(i, &mut p);
+        let id = p.id.clone();
+        w.submit(from + every * f64::from(i), p);
+        id
+    };
+    (0..count).map(one).collect()
+}
+
+/// The users of these jobs ask at all nodes at once whenever something becomes known.
+fn look_closely(w: &Arc<World>, ids: &[String]) {
+    for id in ids.to_vec() {
+        let first = w.clone();
+        let from = 3.0;
+        // Their submissions create them; until then there is nobody to change.
+        first.at(from, move |w| watch_closely(w, id));
+    }
+}
+
+fn watch_closely(w: &Arc<World>, id: String) {
+    let known = w.state().users.contains_key(&id);
+    w.change_user(&id, |u| u.close_looks = true);
+    if !known {
+        w.after(50_000, move |w| watch_closely(w, id));
+    }
+}
+
+fn cancel_each(w: &Arc<World>, ids: &[String], from: f64, to: f64, rng: &mut fastrand::Rng) {
+    for id in ids.to_vec() {
+        let at = from + rng.f64() * (to - from);
+        w.at(at, move |w| w.user_cancels(&id));
+    }
+}
+
+fn every_other(ids: &[String], of: usize) -> Vec<String> {
+    ids.iter().step_by(of).cloned().collect()
+}
+
+fn share(names: Vec<String>, of: usize) -> Vec<String> {
+    names.into_iter().step_by(of).collect()
+}
+
+/// Users ask at all nodes, again and again within milliseconds, and repeat the submission, right
+/// after a job was accepted, ended or confirmed as cancelled; some cancel at once.
+#[test]
+fn users_ask_at_all_nodes_at_once() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 60.0, 60, |i, p| p.run_s = f64::from(i % 7) * 2.0);
+        look_closely(w, &ids);
+        cancel_soon(w, &every_other(&ids, 3), 4.0, rng);
+    });
+    for end in ends {
+        assert!(end.cancelled > 10 && end.done > 30, "{end:?}");
+    }
+}
+
+/// Cancels each job some time after it was accepted.
+fn cancel_soon(w: &Arc<World>, ids: &[String], most_s: f64, rng: &mut fastrand::Rng) {
+    for id in ids.to_vec() {
+        let wait = (rng.f64() * most_s * 1e6) as u64;
+        w.at(3.0, move |w| cancel_once_known(w, id, wait));
+    }
+}
+
+fn cancel_once_known(w: &Arc<World>, id: String, wait: u64) {
+    match w.state().checker.is_accepted(&id) {
+        true => w.after(wait, move |w| w.user_cancels(&id)),
+        false => w.after(20_000, move |w| cancel_once_known(w, id, wait)),
+    }
+}
+
+/// A transaction is carried out at once and only its answer is lost, while other nodes read what it
+/// wrote.
+#[test]
+fn only_the_answer_of_a_transaction_is_lost() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 70.0, 50, |i, p| p.run_s = f64::from(i % 7) * 2.0);
+        look_closely(w, &ids);
+        cancel_soon(w, &every_other(&ids, 3), 12.0, rng);
+        w.at(8.0, |w| w.late_writes(0.6, true, 70.0));
+        // Some can't ask the leader, and read for themselves.
+        w.at(20.0, |w| {
+            let n = (w.leader_or_any() + 1) % 3;
+            w.state().nodes[n].peers_cut_until = 60_000_000;
+        });
+    });
+    for end in ends {
+        assert!(end.cancelled > 5 && end.done > 20, "{end:?}");
+    }
+}
+
+/// Every team is at its limit while jobs are cancelled whose machines are cut off or hang, and the
+/// leader changes.
+#[test]
+fn teams_at_their_limits_lose_sight_of_machines() {
+    let site = Setup {
+        teams: vec![("a", 16.0), ("b", 12.0)],
+        ..setup()
+    };
+    let ends = play(2 * SEEDS, &site, |w, rng| {
+        let ids = jobs(w, 4.0, 40.0, 24, |i, p| {
+            p.team = if i % 2 == 0 { "a" } else { "b" }.into();
+            p.tasks = 1 + i % 5;
+            p.cpus = 4.0;
+            p.run_s = 18.0;
+        });
+        let at = 18.0 + rng.f64() * 8.0;
+        let (hangs, holds, of) = (rng.bool(), rng.bool(), rng.usize(1..4));
+        let span = 3.0 + rng.f64() * 25.0;
+        w.at(at, move |w| {
+            let some = share(w.machines_up(), of);
+            match hangs {
+                true => w.hang(&some, span),
+                false => w.cut(&some, span, holds),
+            }
+        });
+        cancel_each(w, &every_other(&ids, 2), at - 1.0, at + 12.0, rng);
+        let back = 0.2 + rng.f64() * 3.0;
+        w.at(at + rng.f64() * 5.0, move |w| {
+            w.crash(w.leader_or_any(), back)
+        });
+    });
+    for end in ends {
+        assert!(end.cancelled >= 3 && end.leaders >= 2, "{end:?}");
+    }
+}
+
+/// One-task jobs come four a second for minutes, a quarter of them cancelled.
+#[test]
+fn a_stream_of_small_jobs() {
+    let ends = play(
+        2,
+        &Setup {
+            write_rps: 20.0,
+            ..setup()
+        },
+        |w, rng| {
+            let ids = jobs(w, 4.0, 124.0, 480, |_, p| {
+                p.tasks = 1;
+                p.cpus = 1.0;
+                p.run_s = 6.0;
+            });
+            for (i, id) in ids.iter().enumerate().step_by(4) {
+                let at = 4.0 + 0.25 * i as f64 + 0.3 + rng.f64() * 6.0;
+                let id = id.clone();
+                w.at(at, move |w| w.user_cancels(&id));
+            }
+        },
+    );
+    for end in ends {
+        assert!(end.cancelled > 90 && end.done > 330, "{end:?}");
+    }
+}
+
+/// A cancellation, a question or a repeated submission meets the end of a job's last task, with no
+/// other trouble.
+#[test]
+fn cancellations_meet_the_end_of_the_last_task() {
+    let ends = play(SEEDS, &setup(), |w, _| {
+        let ids = jobs(w, 4.0, 60.0, 60, |i, p| {
+            p.run_s = 2.0 + f64::from(i % 5);
+            p.cpus = 1.0;
+        });
+        look_closely(w, &ids);
+        w.at(3.0, move |w| at_the_end(w, ids));
+    });
+    for end in ends {
+        assert_eq!(end.done + end.cancelled, 60, "{end:?}");
+    }
+}
+
+fn at_the_end(w: &Arc<World>, ids: Vec<String>) {
+    for id in &ids {
+        w.change_user(id, |u| u.cancels_at_end = true);
+    }
+    if w.now() < 65_000_000 {
+        w.after(200_000, move |w| at_the_end(w, ids));
+    }
+}
+
+/// A zone with workers and a controller is cut off for longer than the lease.
+#[test]
+fn a_zone_is_cut_off_for_longer_than_the_lease() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 70.0, 40, |_, p| p.run_s = 20.0);
+        let span = LEASE_S * (1.1 + rng.f64());
+        let zone = w.zone_of_node(rng.usize(0..2));
+        let at = 15.0 + rng.f64() * 10.0;
+        w.at(at, move |w| w.cut_zone(zone, span));
+        if rng.bool() {
+            w.at(at + rng.f64() * span, |w| w.crash(w.leader_or_any(), 3.0));
+        }
+        cancel_each(w, &every_other(&ids, 4), at, at + span, rng);
+    });
+    for end in ends {
+        assert!(end.cancelled > 1 && end.done > 20, "{end:?}");
+    }
+}
+
+/// Leaders change ten times in two minutes, also inside an outage.
+#[test]
+fn ten_leaders_in_two_minutes() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 110.0, 50, |i, p| {
+            p.run_s = 5.0 + f64::from(i % 4) * 6.0
+        });
+        look_closely(w, &every_other(&ids, 5));
+        for k in 0..11 {
+            let at = 10.0 + 11.0 * f64::from(k) + rng.f64() * 4.0;
+            let back = 0.2 + rng.f64() * 3.0;
+            w.at(at, move |w| w.crash(w.leader_or_any(), back));
+        }
+        w.at(55.0, |w| w.outage(14.0));
+        cancel_soon(w, &every_other(&ids, 4), 15.0, rng);
+        let spell = 12.0 + rng.f64() * 8.0;
+        w.at(30.0, move |w| {
+            w.cut(&share(w.machines_up(), 3), spell, true)
+        });
+    });
+    for end in ends {
+        assert!(end.leaders >= 10 && end.done > 25, "{end:?}");
+    }
+}
+
+/// Workers can't open connections to any controller, while direct commands still reach them.
+#[test]
+fn workers_reach_nobody_but_are_reached() {
+    let ends = play(2 * SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 90.0, 90, |i, p| {
+            p.cpus = 1.0;
+            p.run_s = 6.0 + f64::from(i % 3) * 4.0;
+        });
+        let at = 12.0 + rng.f64() * 6.0;
+        let span = LEASE_S * (0.5 + 2.0 * rng.f64());
+        let of = rng.usize(1..4);
+        w.at(at, move |w| w.mute(&share(w.machines_up(), of), span));
+        cancel_soon(w, &every_other(&ids, 5), 10.0, rng);
+        if rng.bool() {
+            w.at(at + rng.f64() * span, |w| w.crash(w.leader_or_any(), 3.0));
+        }
+    });
+    for end in ends {
+        assert!(end.done > 50, "{end:?}");
+    }
+}
+
+/// There is more work than room, urgent and not, over slow links.
+#[test]
+fn more_work_than_room_over_slow_links() {
+    let site = Setup {
+        capacity: 5,
+        machines: vec![("small", "east", true, 3), ("small", "west", true, 2)],
+        ..setup()
+    };
+    let ends = play(SEEDS, &site, |w, rng| {
+        w.state().slow_links = 60;
+        let ids = jobs(w, 4.0, 60.0, 40, |i, p| {
+            p.rank = ["low", "normal", "high", "production"][i as usize % 4];
+            p.tasks = 1 + i % 4;
+            p.cpus = 4.0;
+            p.run_s = 8.0;
+            p.save_s = if i % 3 == 0 { 2.0 } else { 0.0 };
+        });
+        cancel_each(w, &every_other(&ids, 5), 10.0, 70.0, rng);
+        w.at(30.0 + rng.f64() * 10.0, |w| w.crash(w.leader_or_any(), 3.0));
+    });
+    for end in ends {
+        assert!(end.done > 25, "{end:?}");
+    }
+}
+
+/// The gap: jobs are cancelled around the moment at which the state service refuses the leader alone;
+/// then it is out for all, for longer than a cancellation may take, while workers go on reporting to
+/// the old leader. The time between runs through the whole life of the leader's lease, so that in
+/// some cases another node has just taken over and confirmed.
+#[test]
+fn the_gap() {
+    let ends = play(
+        3 * SEEDS,
+        &Setup {
+            nodes: 5,
+            ..setup()
+        },
+        |w, rng| {
+            let ids = jobs(w, 4.0, 14.0, 16, |_, p| {
+                p.run_s = 120.0;
+                p.tasks = 1;
+            });
+            look_closely(w, &every_other(&ids, 2));
+            let at = 22.0 + rng.f64();
+            let spacing = rng.f64() * 14.0;
+            w.at(at, move |w| w.refuse(w.leader_or_any(), 14.0 + spacing));
+            w.at(at + spacing, |w| w.outage(CANCEL_S + 12.0));
+            cancel_each(w, &every_other(&ids, 2), at - 0.2, at + spacing + 3.0, rng);
+            cancel_each(w, &every_other(&ids, 3), at + spacing, at + 70.0, rng);
+        },
+    );
+    let confirmed: u32 = ends.iter().map(|e| e.cancelled).sum();
+    assert!(confirmed > 8 * ends.len() as u32 / 2, "{ends:?}");
+}
+
+/// A team is at its limit when the leader changes, some of its machines can't be asked, and a
+/// cancellation falls into that spell.
+#[test]
+fn a_cancellation_while_a_new_leader_cannot_ask_all() {
+    let site = Setup {
+        teams: vec![("a", 24.0), ("b", 8.0)],
+        ..setup()
+    };
+    let ends = play(2 * SEEDS, &site, |w, rng| {
+        let ids = jobs(w, 4.0, 30.0, 20, |i, p| {
+            p.tasks = 1 + i % 4;
+            p.cpus = 4.0;
+            p.run_s = 14.0;
+        });
+        let at = 16.0 + rng.f64() * 8.0;
+        let span = 6.0 + rng.f64() * 20.0;
+        let holds = rng.bool();
+        w.at(at, move |w| w.cut(&share(w.machines_up(), 2), span, holds));
+        w.at(at + 0.5 + rng.f64() * 3.0, |w| {
+            w.crash(w.leader_or_any(), 3.0)
+        });
+        cancel_each(w, &every_other(&ids, 2), at + 1.0, at + span, rng);
+    });
+    for end in ends {
+        assert!(end.leaders >= 2 && end.cancelled > 1, "{end:?}");
+    }
+}
+
+/// An old report reaches every controller just as a new leader begins.
+#[test]
+fn an_old_report_comes_as_a_leader_begins() {
+    let ends = play(3 * SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 90.0, 70, |i, p| {
+            p.cpus = 4.0;
+            p.run_s = 4.0 + f64::from(i % 5) * 3.0;
+        });
+        w.at(6.0, |w| w.late_reports(0.5, true, 80.0));
+        for k in 0..4 {
+            let at = 18.0 + 20.0 * f64::from(k) + rng.f64() * 6.0;
+            let (cuts, holds) = (rng.bool(), rng.bool());
+            let span = LEASE_S * (0.6 + rng.f64());
+            if cuts {
+                // Sessions end before, and begin anew under the leader that is about to end.
+                w.at(at - LEASE_S * rng.f64(), move |w| {
+                    w.cut(&share(w.machines_up(), 3), span, holds);
+                });
+            }
+            w.at(at, |w| w.crash(w.leader_or_any(), 0.3));
+        }
+        cancel_soon(w, &every_other(&ids, 6), 12.0, rng);
+    });
+    for end in ends {
+        assert!(end.leaders >= 4 && end.done > 40, "{end:?}");
+    }
+}
+
+/// A command or its answer is held up for seconds, and the machine then goes on.
+#[test]
+fn commands_and_answers_are_held_up() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 80.0, 80, |i, p| {
+            p.run_s = 5.0 + f64::from(i % 3) * 5.0
+        });
+        for k in 0..10 {
+            let at = 8.0 + 8.0 * f64::from(k) + rng.f64() * 4.0;
+            let (hangs, of, span) = (rng.bool(), rng.usize(1..4), 1.0 + rng.f64() * 9.0);
+            w.at(at, move |w| {
+                let some = share(w.machines_up(), of);
+                match hangs {
+                    true => w.hang(&some, span),
+                    false => w.cut(&some, span, true),
+                }
+            });
+        }
+        cancel_soon(w, &every_other(&ids, 3), 15.0, rng);
+    });
+    for end in ends {
+        assert!(end.cancelled > 1 && end.done > 35, "{end:?}");
+    }
+}
+
+/// A leader is cut from the state service and from the other controllers while workers and users
+/// still reach it, and jobs are cancelled through the new one.
+#[test]
+fn a_leader_has_only_its_workers_and_users() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 60.0, 40, |_, p| p.run_s = 25.0);
+        look_closely(w, &every_other(&ids, 2));
+        let at = 18.0 + rng.f64() * 5.0;
+        w.at(at, |w| w.cut_state(w.leader_or_any(), 35.0, true));
+        cancel_each(w, &every_other(&ids, 2), at - 1.0, at + 25.0, rng);
+    });
+    for end in ends {
+        assert!(end.leaders >= 2 && end.cancelled > 4, "{end:?}");
+    }
+}
+
+/// A leader ends while machines with long tasks can't be reached, or don't hear the new leader's
+/// answer.
+#[test]
+fn machines_do_not_hear_the_new_leader() {
+    let ends = play(2 * SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 60.0, 40, |_, p| p.run_s = 30.0);
+        let at = 18.0 + rng.f64() * 5.0;
+        let (deaf, holds, span) = (rng.bool(), rng.bool(), 5.0 + rng.f64() * 30.0);
+        w.at(at - rng.f64() * 2.0, move |w| {
+            let some = share(w.machines_up(), 2);
+            match deaf {
+                true => w.deafen(&some, span),
+                false => w.cut(&some, span, holds),
+            }
+        });
+        w.at(at, |w| w.crash(w.leader_or_any(), 3.0));
+        cancel_each(w, &every_other(&ids, 3), at - 2.0, at + span, rng);
+    });
+    for end in ends {
+        assert!(end.leaders >= 2 && end.done > 20, "{end:?}");
+    }
+}
+
+/// New machines are up within two seconds and get work at once while writes lag, and the leader
+/// ends.
+#[test]
+fn new_machines_work_at_once_while_writes_lag() {
+    let site = Setup {
+        machines: vec![("small", "east", true, 1), ("small", "west", true, 1)],
+        teams: vec![("a", 96.0), ("b", 24.0)],
+        ..setup()
+    };
+    let ends = play(2 * SEEDS, &site, |w, rng| {
+        w.state().cloud.quick_until = u64::MAX;
+        jobs(w, 4.0, 80.0, 60, |i, p| {
+            p.tasks = 2 + i % 6;
+            p.cpus = 4.0;
+            p.run_s = 8.0;
+        });
+        for k in 0..4 {
+            let at = 8.0 + 18.0 * f64::from(k) + rng.f64() * 8.0;
+            let (slow, late) = (0.2 + rng.f64(), rng.bool());
+            w.at(at, move |w| match late {
+                true => w.late_writes(0.7, rng_bool(slow), 8.0),
+                false => w.slow_state(slow, 8.0),
+            });
+            w.at(at + 1.0 + rng.f64() * 6.0, |w| {
+                w.crash(w.leader_or_any(), 0.3)
+            });
+        }
+    });
+    for end in ends {
+        assert!(end.leaders >= 4 && end.done > 40, "{end:?}");
+    }
+}
+
+fn rng_bool(x: f64) -> bool {
+    x > 0.7
+}
+
+/// Jobs of two or three tasks end far apart across a change of leader.
+#[test]
+fn tasks_end_far_apart_across_leaders() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 50.0, 40, |i, p| {
+            p.tasks = 2 + i % 2;
+            p.run_s = 3.0;
+            p.more_s = 14.0;
+        });
+        look_closely(w, &ids);
+        for k in 0..4 {
+            let at = 14.0 + 14.0 * f64::from(k) + rng.f64() * 6.0;
+            w.at(at, |w| w.crash(w.leader_or_any(), 0.5));
+        }
+        cancel_soon(w, &every_other(&ids, 4), 15.0, rng);
+    });
+    for end in ends {
+        assert!(end.leaders >= 4 && end.done >= 28, "{end:?}");
+    }
+}
+
+/// A transaction without an answer is carried out late, after newer ones of the same controller.
+#[test]
+fn transactions_are_carried_out_after_newer_ones() {
+    let ends = play(2 * SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 80.0, 60, |i, p| {
+            p.run_s = 2.0 + f64::from(i % 6) * 2.0
+        });
+        look_closely(w, &every_other(&ids, 2));
+        w.at(6.0, |w| w.late_writes(0.4, false, 75.0));
+        cancel_soon(w, &every_other(&ids, 3), 12.0, rng);
+        w.at(30.0 + rng.f64() * 20.0, |w| w.crash(w.leader_or_any(), 0.3));
+    });
+    for end in ends {
+        assert!(end.cancelled > 2 && end.done > 30, "{end:?}");
+    }
+}
+
+/// A report is held back until a new leader has acted, and then arrives there.
+#[test]
+fn reports_are_held_back_until_a_new_leader_acts() {
+    let ends = play(2 * SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 70.0, 50, |i, p| {
+            p.run_s = 6.0 + f64::from(i % 4) * 5.0
+        });
+        for k in 0..3 {
+            let at = 14.0 + 20.0 * f64::from(k) + rng.f64() * 6.0;
+            let span = 3.0 + rng.f64() * 20.0;
+            w.at(at, move |w| w.cut(&share(w.machines_up(), 2), span, true));
+            w.at(at + 0.3 + rng.f64() * 2.0, |w| {
+                w.crash(w.leader_or_any(), 0.3)
+            });
+        }
+        cancel_soon(w, &every_other(&ids, 5), 15.0, rng);
+    });
+    for end in ends {
+        assert!(end.leaders >= 3 && end.done > 30, "{end:?}");
+    }
+}
+
+/// Controllers hand over and back, all end, and one returns, also within a second.
+#[test]
+fn controllers_hand_over_and_back() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 80.0, 50, |i, p| {
+            p.run_s = 6.0 + f64::from(i % 4) * 4.0
+        });
+        look_closely(w, &every_other(&ids, 3));
+        for k in 0..3 {
+            let at = 14.0 + 22.0 * f64::from(k) + rng.f64() * 5.0;
+            let quick = rng.usize(0..3);
+            let backs: Vec<f64> = (0..3)
+                .map(|n| {
+                    if n == quick {
+                        0.1 + rng.f64() * 0.8
+                    } else {
+                        4.0 + rng.f64() * 10.0
+                    }
+                })
+                .collect();
+            w.at(at, move |w| {
+                for (n, back) in backs.iter().enumerate() {
+                    w.crash(n, *back);
+                }
+            });
+            w.at(at + 1.0 + rng.f64(), |w| w.crash(w.leader_or_any(), 0.2));
+        }
+        cancel_soon(w, &every_other(&ids, 4), 15.0, rng);
+    });
+    for end in ends {
+        assert!(end.leaders >= 4 && end.done > 30, "{end:?}");
+    }
+}
+
+/// All controllers are away for longer than the lease.
+#[test]
+fn all_controllers_are_away_for_longer_than_the_lease() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 70.0, 40, |_, p| p.run_s = 20.0);
+        let at = 15.0 + rng.f64() * 10.0;
+        w.at(at, |w| {
+            (0..3).for_each(|n| w.crash(n, LEASE_S + 4.0 + n as f64))
+        });
+        cancel_each(w, &every_other(&ids, 4), at - 2.0, at + LEASE_S, rng);
+    });
+    for end in ends {
+        assert!(end.leaders >= 2 && end.done > 25, "{end:?}");
+    }
+}
+
+/// An old report arrives after newer ones, also from an earlier session or attempt.
+#[test]
+fn old_reports_arrive_after_newer_ones() {
+    let ends = play(2 * SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 90.0, 60, |i, p| {
+            p.run_s = 4.0 + f64::from(i % 5) * 3.0
+        });
+        w.at(6.0, |w| w.late_reports(0.6, false, 80.0));
+        let span = LEASE_S * (1.05 + 0.4 * rng.f64());
+        let holds = rng.bool();
+        w.at(20.0 + rng.f64() * 10.0, move |w| {
+            w.cut(&share(w.machines_up(), 2), span, holds)
+        });
+        w.at(40.0 + rng.f64() * 30.0, |w| w.crash(w.leader_or_any(), 0.3));
+        cancel_soon(w, &every_other(&ids, 4), 15.0, rng);
+    });
+    for end in ends {
+        assert!(end.leaders >= 2 && end.done > 35, "{end:?}");
+    }
+}
+
+/// Jobs bound to one zone, arrays too, lose machines, also while the leader changes.
+#[test]
+fn jobs_bound_to_one_zone_lose_machines() {
+    let ends = play(2 * SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 60.0, 30, |i, p| {
+            p.tasks = 2 + i % 7;
+            p.cpus = 4.0;
+            p.run_s = 12.0;
+            match i % 3 {
+                0 => p.one_zone = true,
+                1 => p.spread = true,
+                _ => p.zone = Some(["east", "west"][i as usize % 2].into()),
+            }
+        });
+        let at = 16.0 + rng.f64() * 8.0;
+        let (dies, holds, span) = (rng.bool(), rng.bool(), 4.0 + rng.f64() * 20.0);
+        w.at(at, move |w| {
+            let some = share(w.machines_up(), 2);
+            match dies {
+                true => w.die(&some),
+                false => w.cut(&some, span, holds),
+            }
+        });
+        w.at(at + rng.f64() * 4.0, |w| w.crash(w.leader_or_any(), 1.0));
+        cancel_each(w, &every_other(&ids, 5), at, at + 20.0, rng);
+    });
+    for end in ends {
+        assert!(end.leaders >= 2 && end.done > 15, "{end:?}");
+    }
+}
+
+/// The state service answers slowly, or refuses the leader alone and then everybody for longer than
+/// a cancellation may take, while users cancel and ask.
+#[test]
+fn a_slow_or_refusing_state_service_while_users_cancel() {
+    let ends = play(2 * SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 60.0, 36, |_, p| p.run_s = 20.0);
+        look_closely(w, &ids);
+        let at = 16.0 + rng.f64() * 5.0;
+        match rng.bool() {
+            true => w.at(at, |w| w.slow_state(0.9, 50.0)),
+            false => {
+                w.at(at, |w| w.refuse(w.leader_or_any(), 20.0));
+                w.at(at + rng.f64() * 12.0, |w| w.outage(CANCEL_S + 5.0));
+            }
+        }
+        cancel_each(w, &every_other(&ids, 2), at - 1.0, at + 30.0, rng);
+    });
+    for end in ends {
+        assert!(end.done + end.cancelled > 20, "{end:?}");
+    }
+}
+
+/// Jobs are cancelled in the seconds in which one controller's work changes hands.
+#[test]
+fn jobs_are_cancelled_while_the_lead_changes_hands() {
+    let ends = play(2 * SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 60.0, 50, |i, p| {
+            p.run_s = 8.0 + f64::from(i % 3) * 8.0
+        });
+        look_closely(w, &every_other(&ids, 2));
+        for (k, some) in ids.chunks(12).enumerate() {
+            let at = 16.0 + 14.0 * k as f64 + rng.f64() * 4.0;
+            let (freezes, back) = (rng.bool(), 0.2 + rng.f64() * 3.0);
+            w.at(at, move |w| match freezes {
+                true => w.freeze(w.leader_or_any(), 12.0),
+                false => w.crash(w.leader_or_any(), back),
+            });
+            cancel_each(w, some, at - 1.0, at + 4.0, rng);
+        }
+    });
+    for end in ends {
+        assert!(end.leaders >= 3 && end.cancelled > 10, "{end:?}");
+    }
+}
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -1,5 +1,7 @@
 //! Real controller processes on loopback, with stand-ins for all that they talk to.
 
+#[path = "common/keys.rs"]
+mod keys;
 #[path = "common/standin.rs"]
 mod standin;
 
@@ -239,7 +241,7 @@
     *state.down.lock().unwrap() = true;
     assert_eq!(nodes.call(a, "POST", "/work", &job("run-5", 1, 1.0)).0, 503);
     assert_eq!(nodes.call(a, "GET", "/up", &[]).0, 200);
-    *state.down.lock().unwrap() = false;
+    state.recovers();
     nodes.until(a, "POST", "/work", &job("run-5", 1, 1.0), |s, _| s == 201);
     nodes.until_status(b, "run-5", "done");
 }
@@ -265,7 +267,7 @@
             nodes.children[n].wait().unwrap();
             nodes.children[n] = spawn(&nodes.configs[n]);
         }
-        *state.down.lock().unwrap() = false;
+        state.recovers();
     }
     for id in &jobs {
         for n in 0..3 {
@@ -310,7 +312,7 @@
     nodes.until(0, "GET", "/up", &[], |s, _| s == 503);
     assert_eq!(nodes.call(0, "GET", "/work/run-1", &[]).0, 503);
     assert_eq!(nodes.call(0, "GET", "/work/run-2", &[]).0, 503);
-    *state.down.lock().unwrap() = false;
+    state.recovers();
     nodes.until(0, "GET", "/up", &[], |s, _| s == 200);
     nodes.until(0, "GET", "/work/run-1", &[], |s, _| s == 200);
     nodes.until(0, "GET", "/work/run-2", &[], |s, _| s == 404);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -925,3 +925,33 @@
     let due = w.cluster.due_finals(12);
     assert_eq!(affordable(due, &mut 1).len(), 0);
 }
+
+/// A final state exists from the moment its transaction is applied, which may be before its writer
+/// knows, or without it ever knowing: another node may have told it already. From its sending until
+/// that is known the leader says nothing of the job by itself.
+#[test]
+fn a_final_state_on_its_way_is_not_talked_over() {
+    let mut w = World::new(2, one_team());
+    w.check_in("big-east-1", &[]);
+    w.job(submission("run-1", |s| s.pieces = 1));
+    w.at(3.0).check_in("big-east-1", &[]);
+    w.at(6.0).check_in("big-east-1", &["run-1/0#2.1 running"]);
+    w.view("run-1");
+    w.cluster.ask_cancel("run-1");
+    let writes = w.cluster.due_finals(12);
+    w.cluster.sending(&writes);
+    w.note("the cancellation is sent").view("run-1");
+    w.cluster.not_written(&writes);
+    w.at(6.1).note("it was surely refused").view("run-1");
+    w.cluster.sending(&writes);
+    w.cluster.unanswered(&writes);
+    w.at(6.2).note("sent again, it got no answer").view("run-1");
+    w.cluster.sending(&writes);
+    w.cluster.not_written(&writes);
+    w.at(6.3)
+        .note("sent once more, that one was refused")
+        .view("run-1");
+    w.cluster.written(&writes[0], 200);
+    w.at(6.4).note("the fourth was written").view("run-1");
+    assert_snapshot!(w.log);
+}
