--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 use aspenreel::node::Node;
 use aspenreel::os::System;
 use aspenreel::settings::Settings;
+use aspenreel::time::Micros;
 use clap::Parser;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -21,6 +22,8 @@
     let level = std::env::var("LOG_LEVEL").ok();
     aspenreel::logging::start(level.as_deref())?;
     let settings = Settings::load(&options.config).map_err(|e| e.to_string())?;
+    let hold = Micros::from_millis(options.hold_ms);
+    settings.check_hold(hold).map_err(|e| e.to_string())?;
     for warning in settings.settings.quota.warnings() {
         log::warn!("{warning}");
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! The platform's settings file: read once, checked whole; unknown fields are ignored.
 
-use crate::time::Micros;
+use crate::time::{Micros, at_least, at_most};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -13,8 +13,15 @@
     Parse(String),
     #[error("settings: field `{field}`: {problem}")]
     Field { field: String, problem: String },
+    #[error("--hold-ms: {0}")]
+    Hold(String),
 }
 
+/// Added to the times of a cancellation: timers, the ways of the last answer and of the last order.
+const CANCEL_MARGIN: Micros = Micros::from_millis(1000);
+/// The shortest life of the leader's lease that its flag takes.
+pub const SHORTEST_HOLD: Micros = Micros::from_millis(1000);
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
     pub node: String,
@@ -232,6 +239,39 @@
         Ok(settings)
     }
 
+    /// Refuses a life of the leader's lease with which a cancellation could take too long.
+    ///
+    /// Whoever confirms a cancellation, and whatever the leader knows of it: after that moment the
+    /// leader of before answers for no longer than its lease lives, and a worker that nobody answers
+    /// kills its tasks when its own lease is over. Both together, with what clocks may drift and a
+    /// margin, must fit into the time for a cancellation (`docs/design.md`, *The gap*).
+    pub fn check_hold(&self, hold: Micros) -> Result<(), SettingsError> {
+        let w = &self.settings.workers;
+        let cancel = Micros::from_secs_f64(w.cancel_s);
+        let rest = at_most(w.lease()) + CANCEL_MARGIN;
+        if rest + SHORTEST_HOLD > cancel {
+            let left = cancel.saturating_sub(CANCEL_MARGIN + SHORTEST_HOLD);
+            let most = (at_least(left).as_secs_f64() * 1000.0).floor() / 1000.0;
+            return Err(SettingsError::Field {
+                field: "settings.workers.lease_s".into(),
+                problem: format!(
+                    "must be at most {most} for a cancel_s of {}, is {}: tasks of a cancelled job could outlast it",
+                    w.cancel_s, w.lease_s
+                ),
+            });
+        }
+        if rest + hold > cancel {
+            let most = cancel.saturating_sub(rest).0 / 1000;
+            return Err(SettingsError::Hold(format!(
+                "must be at most {most} for a lease_s of {} and a cancel_s of {}, is {}: tasks of a cancelled job could outlast it",
+                w.lease_s,
+                w.cancel_s,
+                hold.0 / 1000
+            )));
+        }
+        Ok(())
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         let bad = |field: &str, problem: &str| {
             Err(SettingsError::Field {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,5 +1,8 @@
 //! Bad settings and flags end the program at once, with one line that names the field.
 
+use aspenreel::settings::Settings;
+use aspenreel::time::Micros;
+use insta::assert_snapshot;
 use std::process::Command;
 
 pub const GOOD: &str = r#"
@@ -113,3 +116,37 @@
     let (code, _) = run(&["--help"], "info");
     assert_eq!(code, Some(0));
 }
+
+/// A cancellation's time is arithmetic: the lease of a leader that was refused alone, then the lease
+/// of a worker that went on reporting to it. Settings and flags with which the sum could be above
+/// `cancel_s` end the process; the largest value that works is named, and works.
+#[test]
+fn a_cancellation_fits_into_its_time() {
+    let with = |lease: &str, hold: &str| {
+        let text = GOOD.replace("lease_s = 20.0", &format!("lease_s = {lease}"));
+        let path = std::env::temp_dir().join(format!(
+            "aspenreel-{}-bound-{lease}-{hold}.toml",
+            std::process::id()
+        ));
+        std::fs::write(&path, text).unwrap();
+        let file = path.to_str().unwrap();
+        let (code, err) = run(&["serve", "--hold-ms", hold, "--config", file], "info");
+        let _ = std::fs::remove_file(&path);
+        assert_eq!((code, err.lines().count()), (Some(2), 1), "{err}");
+        err.trim().to_string()
+    };
+    let (hold, lease) = (with("20.0", "20000"), with("39.0", "8000"));
+    assert_snapshot!(
+        "a_cancellation_fits_into_its_time",
+        format!("{hold}\n{lease}")
+    );
+    let settings = |lease: &str| {
+        Settings::parse(&GOOD.replace("lease_s = 20.0", &format!("lease_s = {lease}"))).unwrap()
+    };
+    let fits = |lease: &str, hold: u64| {
+        let hold = Micros::from_millis(hold);
+        settings(lease).check_hold(hold).is_ok()
+    };
+    assert!(fits("20.0", 18_980) && !fits("20.0", 18_981), "{hold}");
+    assert!(fits("37.962", 1000) && !fits("37.963", 1000), "{lease}");
+}
