--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -81,7 +81,7 @@
     pub poked: BTreeSet<String>,
     /// When the direct calls that are under way began.
     pub calls: Vec<Moment>,
-    /// The process falls behind for want of processor time: what check-in answers carry as well
+    /// The process falls behind for want of processor time: what heartbeat answers carry as well
     /// isn't sent directly.
     pub(crate) behind: bool,
     /// When it was last seen to fall behind.
@@ -128,7 +128,7 @@
     pub fn add_job(
         &mut self,
         submission: &Submission,
-        stamp: u64,
+        revision: u64,
         now: Moment,
         wall: WallTime,
     ) -> JobId {
@@ -144,7 +144,7 @@
         if self.claims_lost {
             claimed = spec.tasks;
         }
-        let mut job = new_job(spec, team, stamp, accepted_at, claimed);
+        let mut job = new_job(spec, team, revision, accepted_at, claimed);
         if self.released {
             job.release();
         }
@@ -152,21 +152,21 @@
     }
 
     /// Takes in a done set's key, read at takeover or after a conflict.
-    pub fn load_done(&mut self, id: &str, chunk: u32, record: &DoneRecord, stamp: u64) {
+    pub fn load_done(&mut self, id: &str, chunk: u32, record: &DoneRecord, revision: u64) {
         let Some(job_id) = self.jobs.find(id) else {
             return;
         };
         let Some(job) = self.jobs.table.get_mut(&job_id) else {
             return;
         };
-        let Some(known) = job.stamps.get_mut(chunk as usize) else {
+        let Some(known) = job.revisions.get_mut(chunk as usize) else {
             return;
         };
-        if *known != stamp && chunk == 0 {
-            // What got no answer was guarded by the stamp before: it can't be applied any more.
+        if *known != revision && chunk == 0 {
+            // What got no answer was guarded by the revision before: it can't be applied any more.
             job.deciding = Deciding::No;
         }
-        *known = stamp;
+        *known = revision;
         let mut set = job.recorded.clone();
         if set.add_chunk(chunk, &record.set).is_none() {
             log::error!("done set of {id}: malformed chunk {chunk}");
@@ -347,7 +347,7 @@
 
     /// True when most machines fell silent together: rather this node is cut off than they are.
     ///
-    /// The state service may still serve a leader that no worker reaches; it would keep its hold
+    /// The state service may still serve a leader that no worker reaches; it would keep its lease
     /// while every lease runs out. A leader that falls behind is not cut off: reports wait here,
     /// unread, and the next leader would have no more processor, and hundreds of workers coming
     /// over besides.
--- a/src/fleet/edge.rs
+++ b/src/fleet/edge.rs
@@ -132,7 +132,9 @@
             return false;
         };
         let change = Change::write(CATALOG_KEY, to_value(catalog));
-        self.store.multi(&[guard], &[change], Urgency::Lazy).is_ok()
+        self.store
+            .transact(&[guard], &[change], Urgency::Lazy)
+            .is_ok()
     }
 
     fn list_machines(&self) {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -6,7 +6,7 @@
 //! to a pool that grows by need up to a bound. A slow or silent client holds its connection, for a
 //! bounded time, and no thread.
 //!
-//! Hundreds of routine requests may be due at once (check-ins after a cut, say). On a small share of
+//! Hundreds of routine requests may be due at once (heartbeats after a cut, say). On a small share of
 //! a core each costs milliseconds, and whoever asks for something else would wait for all of them.
 //! Connections that carry routine requests are therefore waited for in a set of their own, and
 //! taken a few at a time between looks at the others.
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -21,7 +21,7 @@
     pub term: u64,
     pub told: bool,
     /// The key's revision, 0 while it is absent.
-    pub stamp: u64,
+    pub revision: u64,
     /// What was written last without an answer. It is written until it is known: the opposite, written
     /// over it, could be undone by it, and no node would accept anything any more.
     pub in_doubt: Option<bool>,
@@ -33,7 +33,7 @@
         self.in_doubt.or((is_full != self.told).then_some(is_full))
     }
 
-    pub fn known(&mut self, told: bool, stamp: u64) {
+    pub fn known(&mut self, told: bool, revision: u64) {
         if told != self.told {
             log::warn!(
                 "{}",
@@ -43,7 +43,7 @@
                 }
             );
         }
-        (self.told, self.stamp, self.in_doubt) = (told, stamp, None);
+        (self.told, self.revision, self.in_doubt) = (told, revision, None);
     }
 }
 
@@ -69,7 +69,7 @@
                     continue;
                 };
                 let guard = lead.guard();
-                let (term, permit) = (lead.term, lead.permit);
+                let (term, lease) = (lead.term, lead.lease);
                 if fullness.term != term {
                     fullness = Fullness {
                         term,
@@ -79,7 +79,7 @@
                 let is_full = cluster.is_full(fullness.told);
                 if let Some(target) = fullness.next(is_full) {
                     drop(core);
-                    self.tell_full(&guard, permit, &mut fullness, target);
+                    self.tell_full(&guard, lease, &mut fullness, target);
                     continue;
                 }
                 let mut left = tokens.available(now).max(0.0) as usize;
@@ -125,8 +125,8 @@
                 guards.extend(pack.iter().flat_map(|w| w.guards.iter().cloned()));
                 let changes: Vec<_> = pack.iter().flat_map(|w| w.changes.clone()).collect();
                 tokens.force(changes.len() as f64, self.now());
-                match self.store.multi(&guards, &changes, Urgency::Granted) {
-                    Ok(Commit::Done { epoch }) => self.note_written(term, &pack, epoch),
+                match self.store.transact(&guards, &changes, Urgency::Granted) {
+                    Ok(Commit::Done { revision }) => self.note_written(term, &pack, revision),
                     Ok(Commit::Conflict { failed }) => {
                         if failed.contains(&guard.key) {
                             self.under(term, |core| {
@@ -144,7 +144,7 @@
                         if matches!(e, StoreError::Refused(_)) {
                             self.in_cluster(term, |cluster| cluster.not_written(&pack));
                         } else {
-                            // Whether it was applied shows at the next try: the guards' stamps fail.
+                            // Whether it was applied shows at the next try: the guards' revisions fail.
                             not_before = self.now() + Micros::from_millis(50);
                             self.in_cluster(term, |cluster| cluster.unanswered(&pack));
                         }
@@ -161,22 +161,24 @@
     }
 
     /// Writes that no more jobs are to be accepted, or that they are again.
-    fn tell_full(&self, guard: &Guard, permit: u64, fullness: &mut Fullness, target: bool) {
+    fn tell_full(&self, guard: &Guard, lease: u64, fullness: &mut Fullness, target: bool) {
         let change = match target {
             true => Change::Write {
                 write: FULL_KEY.into(),
                 data: to_value(&true),
-                permit: Some(permit),
+                lease: Some(lease),
             },
             false => Change::delete(FULL_KEY),
         };
-        let guards = [guard.clone(), Guard::new(FULL_KEY, fullness.stamp)];
-        match self.store.multi(&guards, &[change], Urgency::Granted) {
-            Ok(Commit::Done { epoch }) => fullness.known(target, if target { epoch } else { 0 }),
+        let guards = [guard.clone(), Guard::new(FULL_KEY, fullness.revision)];
+        match self.store.transact(&guards, &[change], Urgency::Granted) {
+            Ok(Commit::Done { revision }) => {
+                fullness.known(target, if target { revision } else { 0 })
+            }
             Ok(Commit::Conflict { failed }) if failed == [FULL_KEY] => {
                 // One without an answer was carried out.
                 if let Ok(row) = self.store.get(FULL_KEY, Urgency::Normal) {
-                    fullness.known(row.is_some(), row.map_or(0, |r| r.stamp));
+                    fullness.known(row.is_some(), row.map_or(0, |r| r.revision));
                 }
             }
             Ok(Commit::Conflict { .. }) | Err(StoreError::Refused(_)) => {}
@@ -205,12 +207,12 @@
         });
     }
 
-    fn note_written(&self, term: u64, pack: &[Write], epoch: u64) {
-        self.under(term, |core| self.note_written_in(core, pack, epoch));
+    fn note_written(&self, term: u64, pack: &[Write], revision: u64) {
+        self.under(term, |core| self.note_written_in(core, pack, revision));
         self.changed.notify_all();
     }
 
-    fn note_written_in(&self, core: &mut Core, pack: &[Write], epoch: u64) {
+    fn note_written_in(&self, core: &mut Core, pack: &[Write], revision: u64) {
         let Some(cluster) = &mut core.cluster else {
             return;
         };
@@ -221,13 +223,13 @@
                 let view = JobView::of_final(*outcome, job.spec.tasks);
                 core.finals.note(&job.spec.id, view);
             }
-            cluster.written(write, epoch);
+            cluster.written(write, revision);
         }
         cluster.place_soon(self.now());
         self.wake(cluster);
     }
 
-    /// Keys whose stamps were not as expected: an unanswered write of ours was applied.
+    /// Keys whose revisions were not as expected: an unanswered write of ours was applied.
     fn read_back(&self, term: u64, failed: &[String]) {
         for key in failed {
             if key.starts_with(CLAIMS_PREFIX) || key.starts_with(FLEET_PREFIX) {
@@ -246,7 +248,7 @@
             match self.store.get(key, Urgency::Normal) {
                 Ok(Some(row)) => {
                     let record: DoneRecord = from_value(&row.data).unwrap_or_default();
-                    self.in_cluster(term, |c| c.load_done(id, chunk, &record, row.stamp));
+                    self.in_cluster(term, |c| c.load_done(id, chunk, &record, row.revision));
                 }
                 Ok(None) => {
                     self.in_cluster(term, |c| c.done_key_absent(id, chunk));
@@ -259,10 +261,10 @@
     }
 
     /// A page that a write of ours without an answer changed: it is written again over that one,
-    /// which can't be applied any more once its stamp is known.
+    /// which can't be applied any more once its revision is known.
     fn read_back_page(&self, term: u64, key: &str) {
-        let stamp = match self.store.get(key, Urgency::Normal) {
-            Ok(row) => row.map_or(0, |r| r.stamp),
+        let revision = match self.store.get(key, Urgency::Normal) {
+            Ok(row) => row.map_or(0, |r| r.revision),
             Err(e) => {
                 log::debug!("{key} not read back: {e}");
                 return;
@@ -272,8 +274,8 @@
             && let Ok(number) = number.parse()
         {
             self.in_cluster(term, |cluster| match prefix {
-                "claims" => cluster.claims.restamp(number, stamp),
-                _ => cluster.fleet.roster.restamp(number, stamp),
+                "claims" => cluster.claims.set_revision(number, revision),
+                _ => cluster.fleet.roster.set_revision(number, revision),
             });
         }
     }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -149,8 +149,8 @@
     pub done: TaskSet,
     pub recorded: TaskSet,
     /// Stamps of the done set's keys, 0 where there is none.
-    pub stamps: Vec<u64>,
-    pub job_stamp: u64,
+    pub revisions: Vec<u64>,
+    pub job_revision: u64,
     pub outcome: Option<Outcome>,
     pub cancel_asked: bool,
     pub deciding: Deciding,
@@ -371,7 +371,7 @@
 pub fn new_job(
     spec: JobSpec,
     team: Option<usize>,
-    job_stamp: u64,
+    job_revision: u64,
     accepted_at: Moment,
     claimed: u32,
 ) -> Job {
@@ -382,10 +382,10 @@
         held_below: claimed,
         claimed,
         claim_wanted: 0,
-        stamps: vec![0; done.chunks() as usize],
+        revisions: vec![0; done.chunks() as usize],
         recorded: done.clone(),
         done,
-        job_stamp,
+        job_revision,
         outcome: None,
         cancel_asked: false,
         deciding: Deciding::No,
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -39,7 +39,7 @@
     }
 }
 
-/// A page's write, guarded by the page's own stamp.
+/// A page's write, guarded by the page's own revision.
 pub fn page_write<V: Clone + serde::Serialize>(
     prefix: &str,
     image: PageImage<V>,
@@ -47,7 +47,7 @@
 ) -> Write {
     let key = format!("{prefix}{}", image.number);
     Write {
-        guards: vec![Guard::new(key.clone(), image.stamp)],
+        guards: vec![Guard::new(key.clone(), image.revision)],
         changes: vec![Change::write(key, to_value(&image.entries))],
         kind: kind(image),
     }
@@ -78,7 +78,7 @@
             // comes soon, or the call is given up.
             .filter(|(id, j)| j.complete() || !self.starts_under_way(**id))
             .map(|(id, j)| {
-                // A job whose tasks are all done when it is withdrawn is done.
+                // A job whose tasks are all done when it is cancelled is done.
                 let outcome = if j.complete() {
                     Outcome::Done
                 } else {
@@ -96,9 +96,9 @@
                 };
                 Write {
                     kind: WriteKind::Final(*id, outcome),
-                    // The stamp keeps done and cancelled apart even if an unanswered
+                    // The revision keeps done and cancelled apart even if an unanswered
                     // transaction of ours is applied late.
-                    guards: vec![Guard::new(key.clone(), j.stamps[0])],
+                    guards: vec![Guard::new(key.clone(), j.revisions[0])],
                     changes: vec![Change::write(key, to_value(&record))],
                 }
             })
@@ -138,7 +138,7 @@
                         chunk,
                         text,
                     },
-                    guards: vec![Guard::new(key.clone(), job.stamps[chunk as usize])],
+                    guards: vec![Guard::new(key.clone(), job.revisions[chunk as usize])],
                     changes: vec![Change::write(key, to_value(&record))],
                 });
             }
@@ -222,13 +222,13 @@
     }
 
     /// A write was committed at this revision.
-    pub fn written(&mut self, write: &Write, epoch: u64) {
+    pub fn written(&mut self, write: &Write, revision: u64) {
         match &write.kind {
             WriteKind::Final(id, outcome) => {
                 let Some(job) = self.jobs.table.get_mut(id) else {
                     return;
                 };
-                job.stamps[0] = epoch;
+                job.revisions[0] = revision;
                 if *outcome == Outcome::Done {
                     job.recorded = job.done.clone();
                 }
@@ -244,7 +244,7 @@
                             .rsplit_once('/')
                             .and_then(|(_, c)| c.parse::<usize>().ok())
                     {
-                        job.stamps[c] = 0;
+                        job.revisions[c] = 0;
                     }
                 }
                 if write
@@ -252,7 +252,7 @@
                     .iter()
                     .any(|c| matches!(c, Change::Write { .. }))
                 {
-                    job.stamps[*chunk as usize] = epoch;
+                    job.revisions[*chunk as usize] = revision;
                     let _ = job.recorded.add_chunk(*chunk, text);
                 }
             }
@@ -264,7 +264,7 @@
                 }
             }
             WriteKind::Claims(image) => {
-                self.claims.written(image.number, image.version, epoch);
+                self.claims.written(image.number, image.version, revision);
                 for (id, below) in &image.entries {
                     let Some(id) = self.jobs.find(id) else {
                         continue;
@@ -281,7 +281,7 @@
             WriteKind::Roster(image) => {
                 self.fleet
                     .roster
-                    .written(image.number, image.version, epoch);
+                    .written(image.number, image.version, revision);
                 for (name, _) in &image.entries {
                     if let Some(m) = self.machines.get_mut(name)
                         && !m.recorded
@@ -316,9 +316,9 @@
     pub fn done_key_absent(&mut self, id: &str, chunk: u32) {
         if let Some(job_id) = self.jobs.find(id)
             && let Some(job) = self.jobs.table.get_mut(&job_id)
-            && let Some(stamp) = job.stamps.get_mut(chunk as usize)
+            && let Some(revision) = job.revisions.get_mut(chunk as usize)
         {
-            *stamp = 0;
+            *revision = 0;
         }
     }
 }
@@ -333,13 +333,13 @@
     let keys = chunks.iter().map(|c| done_key(spec_id, *c));
     let mut guards: Vec<Guard> = chunks
         .iter()
-        .map(|c| Guard::new(done_key(spec_id, *c), job.stamps[*c as usize]))
+        .map(|c| Guard::new(done_key(spec_id, *c), job.revisions[*c as usize]))
         .collect();
-    if job.stamps[0] == 0 {
+    if job.revisions[0] == 0 {
         // Else a cancellation of ours that got no answer could stand beside this.
         guards.push(Guard::new(done_key(spec_id, 0), 0));
     }
-    guards.push(Guard::new(job_key(spec_id), job.job_stamp));
+    guards.push(Guard::new(job_key(spec_id), job.job_revision));
     let mut changes: Vec<Change> = keys.map(Change::delete).collect();
     let record = FinalRecord {
         state: outcome,
@@ -358,7 +358,7 @@
 fn stored_chunks(job: &Job) -> impl Iterator<Item = u32> + '_ {
     (0..job.done.chunks())
         .rev()
-        .filter(|c| job.stamps[*c as usize] > 0)
+        .filter(|c| job.revisions[*c as usize] > 0)
 }
 
 /// Too many chunks for one transaction: the higher ones go first, the final state last.
@@ -367,7 +367,7 @@
     let (guards, changes) = chunks
         .map(|c| {
             let key = done_key(&job.spec.id, c);
-            let guard = Guard::new(key.clone(), job.stamps[c as usize]);
+            let guard = Guard::new(key.clone(), job.revisions[c as usize]);
             (guard, Change::delete(key))
         })
         .unzip();
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -1,4 +1,4 @@
-//! What users ask: submit, status, withdraw and `/up`.
+//! What users ask: submit, status, cancel and `/up`.
 
 use super::spec::{Refusal, Submission, is_ref};
 use super::{
@@ -95,8 +95,8 @@
 const DECIDING_TIME: Micros = Micros::from_millis(300);
 /// Reads for users are given up sooner than others, so that a peer can still be asked.
 const READ_TIME: Duration = Duration::from_millis(700);
-/// A withdrawal is answered once it is recorded, or else refused after this.
-const WITHDRAW_TIME: Micros = Micros::from_millis(2000);
+/// A cancellation is answered once it is recorded, or else refused after this.
+const CANCEL_TIME: Micros = Micros::from_millis(2000);
 
 impl Node {
     /// Any node that knows the machine types can take requests, leader or not.
@@ -256,8 +256,8 @@
         let changes = [Change::write(job_key(&id), to_value(&submission))];
         let leading = |core: &Core| core.lead.as_ref().map(|lead| lead.term);
         let term = leading(&self.core());
-        match self.store.multi(&guards, &changes, Urgency::Granted) {
-            Ok(Commit::Done { epoch }) => {
+        match self.store.transact(&guards, &changes, Urgency::Granted) {
+            Ok(Commit::Done { revision }) => {
                 let mut core = self.core();
                 let now = self.now();
                 // Under another term by now, as after standing still, the job may be over and
@@ -266,7 +266,7 @@
                     && leading(&core) == term
                     && let Some((_, cluster)) = core.acting(now)
                 {
-                    cluster.add_job(&submission, epoch, now, wall);
+                    cluster.add_job(&submission, revision, now, wall);
                     cluster.place_soon(now);
                     self.wake(cluster);
                 }
@@ -303,16 +303,16 @@
         }
     }
 
-    pub fn withdraw(&self, id: &str) -> Response {
+    pub fn cancel(&self, id: &str) -> Response {
         if !is_ref(id) {
             return Response::new(404, Vec::new());
         }
-        let mut reply = self.withdraw_here(id);
+        let mut reply = self.cancel_here(id);
         if reply == PeerReply::NotLeading {
             reply = self
                 .ask_leader(
-                    &PeerRequest::Withdraw { id: id.to_string() },
-                    (WITHDRAW_TIME + PEER_TIME).duration(),
+                    &PeerRequest::Cancel { id: id.to_string() },
+                    (CANCEL_TIME + PEER_TIME).duration(),
                 )
                 .unwrap_or(PeerReply::Busy);
         }
@@ -331,8 +331,8 @@
     }
 
     /// Cancels a job if this node leads, and waits for the record for a bounded time.
-    pub fn withdraw_here(&self, id: &str) -> PeerReply {
-        let deadline = self.now() + WITHDRAW_TIME;
+    pub fn cancel_here(&self, id: &str) -> PeerReply {
+        let deadline = self.now() + CANCEL_TIME;
         let mut core = self.core();
         if let Some(view) = core.finals.get(id) {
             return PeerReply::Job(view);
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -1,6 +1,6 @@
 //! The loop that takes and keeps the lead.
 
-use super::{LEADER_KEY, Lead, LeaderRecord, Take, hold_until, take};
+use super::{LEADER_KEY, Lead, LeaderRecord, Take, lease_until, take};
 use crate::cluster::Cluster;
 use crate::fleet::FLEET_PREFIX;
 use crate::jobs::DoneRecord;
@@ -21,14 +21,14 @@
         pause(&*self.os, low_ms, high_ms);
     }
 
-    fn hold_life(&self) -> Micros {
+    fn lease_life(&self) -> Micros {
         Micros::from_millis(self.options.hold_ms)
     }
 
     pub fn lead_loop(&self) {
         loop {
             match self.store.get(LEADER_KEY, Urgency::Lead) {
-                Ok(Some(row)) => self.follow(row.data, row.stamp),
+                Ok(Some(row)) => self.follow(row.data, row.revision),
                 Ok(None) => {
                     self.core().known_leader = None;
                     if !self.may_stand() {
@@ -38,7 +38,7 @@
                         &self.store,
                         &*self.os,
                         &self.settings.node,
-                        self.hold_life(),
+                        self.lease_life(),
                     ) {
                         Ok(Take::Taken(lead)) => self.lead(lead),
                         Ok(Take::Lost) => {}
@@ -82,14 +82,14 @@
     }
 
     /// Waits while somebody else leads.
-    fn follow(&self, data: ciborium::Value, stamp: u64) {
+    fn follow(&self, data: ciborium::Value, revision: u64) {
         let record: Option<LeaderRecord> = from_value(&data);
         if let Some(r) = &record
             && r.node == self.settings.node
         {
-            // An earlier process of this node: it is dead, so its hold may end now.
+            // An earlier process of this node: it is dead, so its lease may end now.
             log::info!("ending the hold of an earlier process");
-            if self.store.end_hold(r.permit).is_err() {
+            if self.store.end_lease(r.lease).is_err() {
                 self.pause(100, 300);
             }
             return;
@@ -105,12 +105,12 @@
             core.known_leader = record;
             core.leader_seen = self.now();
         }
-        let mut since = stamp;
+        let mut since = revision;
         loop {
             // Short watches: each answer vouches for the leader's name.
             match self.store.changes(LEADER_KEY, since, Micros::from_secs(3)) {
                 Ok(changes) if changes.log.is_empty() => {
-                    since = changes.epoch.max(since);
+                    since = changes.revision.max(since);
                     self.core().leader_seen = self.now();
                 }
                 Ok(_) => return,
@@ -127,13 +127,13 @@
     fn lead(&self, lead: Lead) {
         log::info!("leading term {}", lead.term);
         let started = self.now();
-        let permit = lead.permit;
+        let lease = lead.lease;
         {
             let mut core = self.core();
             core.known_leader = Some(LeaderRecord {
                 node: self.settings.node.clone(),
                 term: lead.term,
-                permit,
+                lease,
             });
             core.lead = Some(lead.clone());
             core.cluster = None;
@@ -145,7 +145,7 @@
             log::info!("term {}: {} jobs read", lead.term, cluster.jobs.table.len());
             self.core().cluster = Some(cluster);
             self.changed.notify_all();
-            self.keep(permit, &mut renewed);
+            self.keep(lease, &mut renewed);
         }
         let silent_zone = {
             let core = self.core();
@@ -160,7 +160,9 @@
         };
         if let Some(zone) = silent_zone {
             let change = Change::write(HINT_KEY, to_value(&zone));
-            let _ = self.store.multi(&[lead.guard()], &[change], Urgency::Lead);
+            let _ = self
+                .store
+                .transact(&[lead.guard()], &[change], Urgency::Lead);
         }
         {
             let mut core = self.core();
@@ -171,9 +173,9 @@
         }
         self.changed.notify_all();
         log::info!("term {} is over", lead.term);
-        // Nobody can lead before the hold has ended, so ending it is worth a few tries.
+        // Nobody can lead before the lease has ended, so ending it is worth a few tries.
         for _ in 0..5 {
-            if self.store.end_hold(permit).is_ok() {
+            if self.store.end_lease(lease).is_ok() {
                 break;
             }
             self.pause(50, 100);
@@ -182,24 +184,24 @@
     }
 
     /// Renews once if it is time; false when the lead is lost.
-    fn renew_if_due(&self, permit: u64, renewed: &mut Moment) -> bool {
-        let life = self.hold_life();
+    fn renew_if_due(&self, lease: u64, renewed: &mut Moment) -> bool {
+        let life = self.lease_life();
         let sent = self.now();
         if sent - *renewed < life.scaled(0.25) {
             return true;
         }
-        match self.store.renew_hold(permit, Duration::from_millis(1000)) {
+        match self.store.renew_lease(lease, Duration::from_millis(1000)) {
             Ok(()) => {
                 *renewed = sent;
                 if let Some(lead) = &mut self.core().lead {
-                    lead.valid_until = hold_until(sent, life);
+                    lead.valid_until = lease_until(sent, life);
                 }
                 true
             }
-            Err(StoreError::NoHold) => false,
+            Err(StoreError::NoLease) => false,
             Err(e) => {
                 // An outage, or a refusal of this node alone: nobody can tell which. The node
-                // stops acting when the hold could have run out, and goes on if it did not.
+                // stops acting when the lease could have run out, and goes on if it did not.
                 log::debug!("hold not renewed: {e}");
                 self.pause(150, 300);
                 true
@@ -207,10 +209,10 @@
         }
     }
 
-    fn keep(&self, permit: u64, renewed: &mut Moment) {
-        let wait = self.hold_life().scaled(0.25).duration();
+    fn keep(&self, lease: u64, renewed: &mut Moment) {
+        let wait = self.lease_life().scaled(0.25).duration();
         loop {
-            if !self.renew_if_due(permit, renewed) || self.core().step_down {
+            if !self.renew_if_due(lease, renewed) || self.core().step_down {
                 return;
             }
             let core = self.core();
@@ -232,13 +234,13 @@
             cluster.fleet.catalog = catalog.to_vec();
         }
         let skew = Micros::from_secs_f64(self.settings.settings.skew_ms / 500.0);
-        let mut jobs_epoch = None;
+        let mut jobs_revision = None;
         cluster.wall_at_start = self.os.wall();
         // Roster and claims first: they tell what of a job may have started.
         for prefix in [FLEET_PREFIX, CLAIMS_PREFIX, "jobs/", "done/"] {
             let mut since: Option<String> = None;
             loop {
-                if !self.renew_if_due(lead.permit, renewed) {
+                if !self.renew_if_due(lead.lease, renewed) {
                     return None;
                 }
                 let page = match self
@@ -253,7 +255,7 @@
                     }
                 };
                 if prefix == "jobs/" {
-                    jobs_epoch.get_or_insert(page.epoch);
+                    jobs_revision.get_or_insert(page.revision);
                 }
                 let (now, wall) = (self.now(), self.os.wall());
                 for row in &page.rows {
@@ -264,10 +266,10 @@
                             log::error!("malformed record {}", row.key);
                             continue;
                         };
-                        cluster.add_job(&s, row.stamp, now, wall);
+                        cluster.add_job(&s, row.revision, now, wall);
                     } else if prefix == CLAIMS_PREFIX {
                         match (rest.parse(), from_value(&row.data)) {
-                            (Ok(n), Some(entries)) => cluster.claims.load(n, row.stamp, entries),
+                            (Ok(n), Some(entries)) => cluster.claims.load(n, row.revision, entries),
                             _ => {
                                 log::error!("malformed record {}", row.key);
                                 cluster.claims_lost = true;
@@ -281,7 +283,7 @@
                                     let since = Moment(now.0.saturating_sub(age));
                                     cluster.note_unseen(name, since);
                                 }
-                                cluster.fleet.roster.load(n, row.stamp, entries);
+                                cluster.fleet.roster.load(n, row.revision, entries);
                             }
                             _ => {
                                 // Whatever it named may hold any task of any job.
@@ -294,7 +296,7 @@
                         && let Ok(chunk) = chunk.parse()
                     {
                         match from_value::<DoneRecord>(&row.data) {
-                            Some(record) => cluster.load_done(id, chunk, &record, row.stamp),
+                            Some(record) => cluster.load_done(id, chunk, &record, row.revision),
                             None => log::error!("malformed record {}", row.key),
                         }
                     }
@@ -305,7 +307,7 @@
             }
         }
         cluster.drop_stale_claims();
-        self.core().jobs_epoch = jobs_epoch.unwrap_or(lead.stamp);
+        self.core().jobs_revision = jobs_revision.unwrap_or(lead.revision);
         Some(cluster)
     }
 
@@ -315,7 +317,7 @@
             let (term, since) = {
                 let core = self.core();
                 match (&core.lead, &core.cluster) {
-                    (Some(lead), Some(_)) => (lead.term, core.jobs_epoch),
+                    (Some(lead), Some(_)) => (lead.term, core.jobs_revision),
                     _ => {
                         self.await_change(core, Duration::from_millis(500));
                         continue;
@@ -333,7 +335,7 @@
                     if lead.term != term {
                         continue;
                     }
-                    core.jobs_epoch = changes.epoch.max(since);
+                    core.jobs_revision = changes.revision.max(since);
                     for event in &changes.log {
                         let (Some(_), Some(data)) = (&event.write, &event.data) else {
                             continue;
@@ -344,7 +346,7 @@
                         };
                         // A job that is retired already must not come back by a late event.
                         if core.finals.get(&s.id).is_none() {
-                            cluster.add_job(&s, event.stamp, now, wall);
+                            cluster.add_job(&s, event.revision, now, wall);
                         }
                     }
                     if now < lead.valid_until {
@@ -366,7 +368,7 @@
 
     fn reread_jobs(&self, term: u64) {
         let mut since: Option<String> = None;
-        let mut epoch = None;
+        let mut revision = None;
         loop {
             let Ok(page) = self
                 .store
@@ -375,7 +377,7 @@
                 self.pause(200, 500);
                 return;
             };
-            epoch.get_or_insert(page.epoch);
+            revision.get_or_insert(page.revision);
             let (now, wall) = (self.now(), self.os.wall());
             let mut core = self.core();
             let core = &mut *core;
@@ -390,11 +392,11 @@
                 if let Some(s) = from_value::<Submission>(&row.data)
                     && core.finals.get(&s.id).is_none()
                 {
-                    cluster.add_job(&s, row.stamp, now, wall);
+                    cluster.add_job(&s, row.revision, now, wall);
                 }
             }
             if !page.more {
-                core.jobs_epoch = epoch.unwrap_or(core.jobs_epoch);
+                core.jobs_revision = revision.unwrap_or(core.jobs_revision);
                 return;
             }
         }
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -1,4 +1,4 @@
-//! The lead: taken by one transaction, kept by a hold, fenced by the leader key's stamp.
+//! The lead: taken by one transaction, kept by a lease, fenced by the leader key's revision.
 
 mod edge;
 pub mod peer;
@@ -11,12 +11,13 @@
 pub const LEADER_KEY: &str = "leader";
 pub const TERM_KEY: &str = "term";
 
-/// The value of `leader`, attached to the leader's hold.
+/// The value of `leader`, attached to the leader's lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderRecord {
     pub node: String,
     pub term: u64,
-    pub permit: u64,
+    #[serde(rename = "permit")]
+    pub lease: u64,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -28,22 +29,22 @@
 #[derive(Clone, Debug)]
 pub struct Lead {
     pub term: u64,
-    pub permit: u64,
+    pub lease: u64,
     /// Revision at which the lead was taken. Every write of ours guards it, and jobs accepted
     /// later are this term's.
-    pub stamp: u64,
-    /// The hold surely lives until then; after it, nobody may be answered.
+    pub revision: u64,
+    /// The lease surely lives until then; after it, nobody may be answered.
     pub valid_until: Moment,
 }
 
 impl Lead {
     pub fn guard(&self) -> Guard {
-        Guard::new(LEADER_KEY, self.stamp)
+        Guard::new(LEADER_KEY, self.revision)
     }
 }
 
-/// Until when a hold asked for (or renewed) at `sent` surely lives.
-pub fn hold_until(sent: Moment, life: Micros) -> Moment {
+/// Until when a lease asked for (or renewed) at `sent` surely lives.
+pub fn lease_until(sent: Moment, life: Micros) -> Moment {
     sent + at_least(life).saturating_sub(Micros::from_millis(250))
 }
 
@@ -57,60 +58,65 @@
 /// Tries once to take the lead. Nothing is left behind when it fails.
 pub fn take(store: &Store, os: &dyn Os, node: &str, life: Micros) -> Result<Take, StoreError> {
     let term_row = store.get(TERM_KEY, Urgency::Lead)?;
-    let (term, term_stamp) = match &term_row {
+    let (term, term_revision) = match &term_row {
         Some(row) => (
             from_value::<TermRecord>(&row.data)
                 .map(|t| t.term)
                 .ok_or_else(|| StoreError::Unknown("malformed term".into()))?,
-            row.stamp,
+            row.revision,
         ),
         None => (0, 0),
     };
     let sent = os.now();
-    let permit = store.new_hold(life)?;
+    let lease = store.grant_lease(life)?;
     let record = LeaderRecord {
         node: node.to_string(),
         term: term + 1,
-        permit,
+        lease,
     };
-    let result = store.multi(
-        &[Guard::new(LEADER_KEY, 0), Guard::new(TERM_KEY, term_stamp)],
+    let result = store.transact(
+        &[
+            Guard::new(LEADER_KEY, 0),
+            Guard::new(TERM_KEY, term_revision),
+        ],
         &[
             Change::write(TERM_KEY, to_value(&TermRecord { term: term + 1 })),
             Change::Write {
                 write: LEADER_KEY.into(),
                 data: to_value(&record),
-                permit: Some(permit),
+                lease: Some(lease),
             },
         ],
         Urgency::Lead,
     );
-    let stamp = match result {
-        Ok(Commit::Done { epoch }) => epoch,
+    let revision = match result {
+        Ok(Commit::Done { revision }) => revision,
         Ok(Commit::Conflict { .. }) => {
-            let _ = store.end_hold(permit);
+            let _ = store.end_lease(lease);
             return Ok(Take::Lost);
         }
         Err(StoreError::Unknown(e)) => {
             // It may have been applied: what the key says decides.
             match store.get(LEADER_KEY, Urgency::Lead) {
-                Ok(Some(row)) if from_value::<LeaderRecord>(&row.data) == Some(record) => row.stamp,
+                Ok(Some(row)) if from_value::<LeaderRecord>(&row.data) == Some(record) => {
+                    row.revision
+                }
                 _ => {
-                    // Ending the hold makes a late transaction fail.
-                    let _ = store.end_hold(permit);
+                    // Ending the lease makes a late transaction fail.
+                    let _ = store.end_lease(lease);
                     return Err(StoreError::Unknown(e));
                 }
             }
         }
         Err(e) => {
-            let _ = store.end_hold(permit);
+            let _ = store.end_lease(lease);
             return Err(e);
         }
     };
     Ok(Take::Taken(Lead {
         term: term + 1,
-        permit,
-        stamp,
-        valid_until: hold_until(sent, life),
+        lease,
+        revision,
+        valid_until: lease_until(sent, life),
     }))
 }
--- a/src/leadership/peer.rs
+++ b/src/leadership/peer.rs
@@ -16,7 +16,7 @@
     /// What the leader knows of a job.
     Status { id: String },
     /// Cancel a job, and say how it ended.
-    Withdraw { id: String },
+    Cancel { id: String },
     /// What the state service says of a job, asked by a node that it refuses.
     Read { id: String },
     /// Is anybody there?
--- a/src/node.rs
+++ b/src/node.rs
@@ -78,10 +78,10 @@
     pub step_down: bool,
     /// Stood down for want of workers: others go first until then.
     pub abstain_until: Moment,
-    /// Check-ins that were refused lately, as a sign of who workers can reach.
+    /// Heartbeats that were refused lately, as a sign of who workers can reach.
     pub knocks: VecDeque<Moment>,
     /// Where the watch on jobs goes on.
-    pub jobs_epoch: u64,
+    pub jobs_revision: u64,
 }
 
 impl Core {
@@ -312,7 +312,7 @@
                 }
             }
             PeerRequest::Ping => PeerReply::Unknown,
-            PeerRequest::Withdraw { id } => self.withdraw_here(&id),
+            PeerRequest::Cancel { id } => self.cancel_here(&id),
             PeerRequest::Read { id } => self.read_for_peer(&id),
             PeerRequest::Accept { body } => self.accept_for_peer(&body),
         }
@@ -321,23 +321,23 @@
 
 /// What a request asks for.
 enum Route<'a> {
-    CheckIn,
+    Heartbeat,
     Up,
     Submit,
     Status(&'a str),
-    Withdraw(&'a str),
+    Cancel(&'a str),
     Refused(u16),
 }
 
 fn route(request: &Request) -> Route<'_> {
     let path = request.path.split('?').next().unwrap_or("");
     let (wanted, route) = match path {
-        "/checkin" => ("POST", Route::CheckIn),
+        "/checkin" => ("POST", Route::Heartbeat),
         "/up" => ("GET", Route::Up),
         "/work" => ("POST", Route::Submit),
         _ => match path.strip_prefix("/work/").map(|rest| rest.split_once('/')) {
             Some(None) => ("GET", Route::Status(&path["/work/".len()..])),
-            Some(Some((id, "withdraw"))) => ("POST", Route::Withdraw(id)),
+            Some(Some((id, "withdraw"))) => ("POST", Route::Cancel(id)),
             _ => return Route::Refused(404),
         },
     };
@@ -353,26 +353,26 @@
     /// told at once.
     fn at_once(&self, request: Request) -> Result<Response, Request> {
         let response = match route(&request) {
-            Route::CheckIn => Some(self.check_in(&request.body)),
+            Route::Heartbeat => Some(self.heartbeat(&request.body)),
             Route::Up => Some(self.up()),
             Route::Status(id) => self.known_status(id),
             Route::Refused(status) => Some(Response::new(status, Vec::new())),
-            Route::Submit | Route::Withdraw(_) => None,
+            Route::Submit | Route::Cancel(_) => None,
         };
         response.ok_or(request)
     }
 
     /// Hundreds of workers check in whatever users do.
     fn routine(&self, request: &Request) -> bool {
-        matches!(route(request), Route::CheckIn)
+        matches!(route(request), Route::Heartbeat)
     }
 
     fn handle(&self, request: Request) -> Response {
         match route(&request) {
             Route::Submit => self.submit(&request.body),
             Route::Status(id) => self.status(id),
-            Route::Withdraw(id) => self.withdraw(id),
-            Route::CheckIn => self.check_in(&request.body),
+            Route::Cancel(id) => self.cancel(id),
+            Route::Heartbeat => self.heartbeat(&request.body),
             Route::Up => self.up(),
             Route::Refused(status) => Response::new(status, Vec::new()),
         }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -338,7 +338,7 @@
             && !m.returning
             && !m.faulty
             && !m.recalled
-            && m.checks_in(self.config.report, now)
+            && m.is_alive(self.config.report, now)
     }
 
     /// A pass, if something changed and the last one was long enough ago. A pass looks at every
--- a/src/state_store/mod.rs
+++ b/src/state_store/mod.rs
@@ -24,7 +24,7 @@
     #[error("state service gave no answer: {0}")]
     Unknown(String),
     #[error("the hold has ended")]
-    NoHold,
+    NoLease,
     /// A watch that is too old.
     #[error("the watch is too old")]
     TooOld,
@@ -35,27 +35,30 @@
 pub struct Row {
     pub key: String,
     pub data: Value,
-    pub stamp: u64,
+    #[serde(rename = "stamp")]
+    pub revision: u64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Page {
     pub rows: Vec<Row>,
     pub more: bool,
-    pub epoch: u64,
+    #[serde(rename = "epoch")]
+    pub revision: u64,
 }
 
 #[derive(Clone, Debug, Serialize)]
 pub struct Guard {
     pub key: String,
-    pub stamp: u64,
+    #[serde(rename = "stamp")]
+    pub revision: u64,
 }
 
 impl Guard {
-    pub fn new(key: impl Into<String>, stamp: u64) -> Self {
+    pub fn new(key: impl Into<String>, revision: u64) -> Self {
         Guard {
             key: key.into(),
-            stamp,
+            revision,
         }
     }
 }
@@ -66,8 +69,8 @@
     Write {
         write: String,
         data: Value,
-        #[serde(skip_serializing_if = "Option::is_none")]
-        permit: Option<u64>,
+        #[serde(rename = "permit", skip_serializing_if = "Option::is_none")]
+        lease: Option<u64>,
     },
     Delete {
         delete: String,
@@ -79,7 +82,7 @@
         Change::Write {
             write: key.into(),
             data,
-            permit: None,
+            lease: None,
         }
     }
     pub fn delete(key: impl Into<String>) -> Self {
@@ -90,7 +93,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Commit {
     Done {
-        epoch: u64,
+        revision: u64,
     },
     /// Keys whose guards failed; nothing was changed.
     Conflict {
@@ -107,19 +110,21 @@
     pub delete: Option<String>,
     #[serde(default)]
     pub data: Option<Value>,
-    pub stamp: u64,
+    #[serde(rename = "stamp")]
+    pub revision: u64,
 }
 
 #[derive(Debug, Deserialize)]
 pub struct Changes {
-    pub epoch: u64,
+    #[serde(rename = "epoch")]
+    pub revision: u64,
     pub log: Vec<Event>,
 }
 
 /// Who asks decides how far the bucket may be emptied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Urgency {
-    /// Renewing the hold and taking the lead never wait behind anything.
+    /// Renewing the lease and taking the lead never wait behind anything.
     Lead,
     /// A write that another bucket has let through: reads for users can't keep it out.
     Granted,
@@ -263,7 +268,7 @@
         }
     }
 
-    pub fn multi(
+    pub fn transact(
         &self,
         guards: &[Guard],
         apply: &[Change],
@@ -276,7 +281,8 @@
         }
         #[derive(Deserialize)]
         struct Answer {
-            epoch: u64,
+            #[serde(rename = "epoch")]
+            revision: u64,
             #[serde(default)]
             failed: Vec<String>,
         }
@@ -289,7 +295,7 @@
         let (status, body) = self.call("POST", "/multi", &body, urgency, CALL_TIME)?;
         match status {
             200 => Ok(Commit::Done {
-                epoch: Self::parse::<Answer>(&body)?.epoch,
+                revision: Self::parse::<Answer>(&body)?.revision,
             }),
             409 => Ok(Commit::Conflict {
                 failed: Self::parse::<Answer>(&body)?.failed,
@@ -297,7 +303,7 @@
             400 => {
                 let error = decode::<Problem>(&body).ok().and_then(|p| p.error);
                 if error.as_deref() == Some("no such lease") {
-                    Err(StoreError::NoHold)
+                    Err(StoreError::NoLease)
                 } else {
                     let text = error.unwrap_or_else(|| "malformed".into());
                     log::error!("state service calls our transaction malformed: {text}");
@@ -308,7 +314,7 @@
         }
     }
 
-    pub fn new_hold(&self, life: Micros) -> Result<u64, StoreError> {
+    pub fn grant_lease(&self, life: Micros) -> Result<u64, StoreError> {
         #[derive(Serialize)]
         struct Body {
             #[serde(rename = "lifeMs")]
@@ -316,29 +322,30 @@
         }
         #[derive(Deserialize)]
         struct Answer {
-            permit: u64,
+            #[serde(rename = "permit")]
+            lease: u64,
         }
         let body = encode(&Body {
             life_ms: life.0 / 1000,
         });
         let (status, body) = self.call("POST", "/holds", &body, Urgency::Lead, CALL_TIME)?;
         match status {
-            200 => Ok(Self::parse::<Answer>(&body)?.permit),
+            200 => Ok(Self::parse::<Answer>(&body)?.lease),
             s => Self::unexpected(s),
         }
     }
 
-    pub fn renew_hold(&self, permit: u64, timeout: Duration) -> Result<(), StoreError> {
-        let path = format!("/holds/{permit}/renew");
+    pub fn renew_lease(&self, lease: u64, timeout: Duration) -> Result<(), StoreError> {
+        let path = format!("/holds/{lease}/renew");
         match self.call("POST", &path, &[], Urgency::Lead, timeout)?.0 {
             200 => Ok(()),
-            404 => Err(StoreError::NoHold),
+            404 => Err(StoreError::NoLease),
             s => Self::unexpected(s),
         }
     }
 
-    pub fn end_hold(&self, permit: u64) -> Result<(), StoreError> {
-        let path = format!("/holds/{permit}");
+    pub fn end_lease(&self, lease: u64) -> Result<(), StoreError> {
+        let path = format!("/holds/{lease}");
         match self.call("DELETE", &path, &[], Urgency::Lead, CALL_TIME)?.0 {
             200..=299 | 404 => Ok(()),
             s => Self::unexpected(s),
--- a/src/state_store/pages.rs
+++ b/src/state_store/pages.rs
@@ -3,7 +3,7 @@
 //! A state service takes a few dozen changes a second, however small they are. What changes often
 //! and is tiny (which machines may hold tasks, which tasks may have started) therefore shares
 //! values: a page holds up to [`PAGE_ENTRIES`] entries and is written whole. Each write guards
-//! the page's own stamp, so that an unanswered older one can't undo it when it is applied late.
+//! the page's own revision, so that an unanswered older one can't undo it when it is applied late.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -13,7 +13,7 @@
 
 #[derive(Debug)]
 struct Page<V> {
-    stamp: u64,
+    revision: u64,
     /// With the count of the change that set them.
     entries: BTreeMap<String, (V, u64)>,
     /// Counts changes; what was written is known by the count it carries.
@@ -27,7 +27,7 @@
 #[derive(Clone, Debug)]
 pub struct PageImage<V> {
     pub number: u32,
-    pub stamp: u64,
+    pub revision: u64,
     pub version: u64,
     pub entries: Vec<(String, V)>,
 }
@@ -49,12 +49,12 @@
 
 impl<V: Clone> Pages<V> {
     /// Takes in a page as it was read.
-    pub fn load(&mut self, number: u32, stamp: u64, entries: Vec<(String, V)>) {
+    pub fn load(&mut self, number: u32, revision: u64, entries: Vec<(String, V)>) {
         for (key, _) in &entries {
             self.index.insert(key.clone(), number);
         }
         let page = Page {
-            stamp,
+            revision,
             entries: entries.into_iter().map(|(k, v)| (k, (v, 0))).collect(),
             version: 0,
             awaited: 0,
@@ -79,7 +79,7 @@
             }
         };
         let page = self.pages.entry(number).or_insert_with(|| Page {
-            stamp: 0,
+            revision: 0,
             entries: BTreeMap::new(),
             version: 0,
             awaited: 0,
@@ -126,7 +126,7 @@
             .filter(|(_, p)| p.stored < if tidy { p.version } else { p.awaited })
             .map(|(number, p)| PageImage {
                 number: *number,
-                stamp: p.stamp,
+                revision: p.revision,
                 version: p.version,
                 entries: p
                     .entries
@@ -138,17 +138,17 @@
     }
 
     /// This image was committed at this revision.
-    pub fn written(&mut self, number: u32, version: u64, stamp: u64) {
+    pub fn written(&mut self, number: u32, version: u64, revision: u64) {
         if let Some(page) = self.pages.get_mut(&number) {
-            page.stamp = stamp;
+            page.revision = revision;
             page.stored = page.stored.max(version);
         }
     }
 
-    /// The page's stamp as it was read back after a conflict: it is written again over it.
-    pub fn restamp(&mut self, number: u32, stamp: u64) {
+    /// The page's revision as it was read back after a conflict: it is written again over it.
+    pub fn set_revision(&mut self, number: u32, revision: u64) {
         if let Some(page) = self.pages.get_mut(&number) {
-            page.stamp = stamp;
+            page.revision = revision;
         }
     }
 }
--- a/src/workers/direct.rs
+++ b/src/workers/direct.rs
@@ -38,7 +38,7 @@
 }
 
 impl Cluster {
-    /// The next machine with orders that need not wait for its check-in.
+    /// The next machine with orders that need not wait for its heartbeat.
     pub fn next_direct(&mut self, now: Moment) -> Option<DirectCall> {
         let prompt = |t: &&Moment| now - **t < SILENT_AFTER;
         if self.behind || self.calls.iter().filter(prompt).count() >= CALLS_AT_ONCE {
@@ -63,7 +63,7 @@
             return None;
         }
         // Stops go to whoever answers; starts only where the lease is known to last.
-        let starts_here = machine.checks_in(report, now);
+        let starts_here = machine.is_alive(report, now);
         if let Some(doubt) = &mut machine.doubt {
             if doubt.probe_at > now {
                 return None;
@@ -218,7 +218,7 @@
             self.drop_unsent(&call.machine);
         } else if answered && !call.probe {
             // What was decided meanwhile waits for the next call. Without an answer it waits for
-            // a check-in: a machine that refuses connections would be called without end.
+            // a heartbeat: a machine that refuses connections would be called without end.
             self.poked.insert(call.machine.clone());
         }
     }
--- a/src/workers/edge.rs
+++ b/src/workers/edge.rs
@@ -1,6 +1,6 @@
-//! Check-ins as they arrive, and direct calls as they leave.
+//! Heartbeats as they arrive, and direct calls as they leave.
 
-use super::CheckIn;
+use super::Heartbeat;
 use super::direct::{DirectCall, DirectResult};
 use super::wire::{Commands, Misdirected, Orders, Report};
 use crate::http::cbor::{decode, encode};
@@ -15,7 +15,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// A worker that answers no sooner is told by its next check-in.
+/// A worker that answers no sooner is told by its next heartbeat.
 const DIRECT_TIME: Duration = Duration::from_millis(1500);
 /// Many machines may be in doubt at once: asking them mustn't hold up orders for the others.
 const PROBE_TIME: Duration = Duration::from_millis(500);
@@ -66,7 +66,7 @@
 }
 
 impl Node {
-    pub fn check_in(&self, body: &[u8]) -> Response {
+    pub fn heartbeat(&self, body: &[u8]) -> Response {
         {
             let mut core = self.core();
             let now = self.now();
@@ -93,8 +93,8 @@
             return self.misdirected(&core);
         };
         let (term, valid_until) = (lead.term, lead.valid_until);
-        match cluster.check_in(&report, now) {
-            CheckIn::Orders(orders) => {
+        match cluster.heartbeat(&report, now) {
+            Heartbeat::Orders(orders) => {
                 self.wake(cluster);
                 drop(core);
                 let body = encode(&Orders {
@@ -106,8 +106,8 @@
                     ..Response::new(200, body)
                 }
             }
-            CheckIn::Stale => Response::busy(1),
-            CheckIn::Deposed => {
+            Heartbeat::Stale => Response::busy(1),
+            Heartbeat::Deposed => {
                 log::info!("a worker knows a higher term than {term}");
                 core.step_down = true;
                 Response::busy(1)
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -141,7 +141,7 @@
     pub session_over: bool,
     /// It is on the roster in the state service: tasks may start here.
     pub recorded: bool,
-    /// The newest check-in taken: whatever is no newer is a copy.
+    /// The newest heartbeat taken: whatever is no newer is a copy.
     pub checked: (u64, u64),
     /// Set while it is doubtful that answers reach it.
     pub doubt: Option<Doubt>,
@@ -150,7 +150,7 @@
     pub last_report: Option<Moment>,
     /// When it last checked in. Direct answers prove neither that its lease is renewed nor that it
     /// reaches anybody: a machine that only answers loses one session after the other.
-    pub last_check_in: Option<Moment>,
+    pub last_heartbeat: Option<Moment>,
     /// When the last direct call that it answered began.
     pub answered_from: Option<Moment>,
     pub recalled: bool,
@@ -202,7 +202,7 @@
             doubt: None,
             lease_from: now,
             last_report: None,
-            last_check_in: None,
+            last_heartbeat: None,
             answered_from: None,
             recalled: false,
             recall_at: None,
@@ -223,9 +223,9 @@
     }
 
     /// True if it checked in lately, in the session that it was last seen in.
-    pub fn checks_in(&self, report: Micros, now: Moment) -> bool {
+    pub fn is_alive(&self, report: Micros, now: Moment) -> bool {
         let fresh = |t: Moment| now - t < report.scaled(2.0);
-        self.last_check_in.is_some_and(fresh) && self.checked.0 == self.session
+        self.last_heartbeat.is_some_and(fresh) && self.checked.0 == self.session
     }
 
     pub fn busy(&self) -> bool {
@@ -267,9 +267,9 @@
     }
 }
 
-/// What a check-in is answered with.
+/// What a heartbeat is answered with.
 #[derive(Debug, PartialEq, Eq)]
-pub enum CheckIn {
+pub enum Heartbeat {
     /// 200 with these orders.
     Orders(Vec<Order>),
     /// A late or repeated report: it renews nothing.
@@ -280,16 +280,16 @@
 
 impl Cluster {
     /// Takes in a report and answers with what the machine is to do.
-    pub fn check_in(&mut self, report: &Report, now: Moment) -> CheckIn {
+    pub fn heartbeat(&mut self, report: &Report, now: Moment) -> Heartbeat {
         if report.token > self.term {
-            return CheckIn::Deposed;
+            return Heartbeat::Deposed;
         }
         if self.fleet.is_gone(&report.machine) {
-            return CheckIn::Stale;
+            return Heartbeat::Stale;
         }
         if !self.machines.contains_key(&report.machine) {
             if self.machines.len() >= self.config.most_machines {
-                return CheckIn::Stale;
+                return Heartbeat::Stale;
             }
             let total = self.fleet.room_of(&report.type_name);
             let mut machine = Machine::new(
@@ -310,21 +310,21 @@
             machine.recorded = recorded;
         }
         let Some(machine) = self.machines.get_mut(&report.machine) else {
-            return CheckIn::Stale;
+            return Heartbeat::Stale;
         };
         if report.session < machine.session || (machine.lost && report.session <= machine.session) {
             // After an expired lease the session is over, whatever a late report says.
-            return CheckIn::Stale;
+            return Heartbeat::Stale;
         }
         let seen = (report.session, report.tick);
         if seen <= machine.checked {
             // A copy: it renews nothing, and doesn't prove that its sender is alive.
-            return CheckIn::Stale;
+            return Heartbeat::Stale;
         }
         // It may take work again from here on.
-        self.dirty |= !machine.checks_in(self.config.report, now);
+        self.dirty |= !machine.is_alive(self.config.report, now);
         machine.checked = seen;
-        machine.last_check_in = Some(now);
+        machine.last_heartbeat = Some(now);
         machine.lease_from = now;
         if (report.session, report.tick) > (machine.session, machine.tick) {
             self.take_in(report, true, now);
@@ -334,7 +334,7 @@
         self.review_doubt(&report.machine, now);
         self.release_seen(now);
         self.place_soon(now);
-        CheckIn::Orders(self.orders(&report.machine, now))
+        Heartbeat::Orders(self.orders(&report.machine, now))
     }
 
     /// A machine in doubt is asked directly; one whose session lasts is heard and hears.
@@ -353,9 +353,9 @@
         }
     }
 
-    /// Takes in a report that is newer than what is known. `checked_in`: it came as a check-in,
+    /// Takes in a report that is newer than what is known. `checked_in`: it came as a heartbeat,
     /// not as the answer of a direct call.
-    fn take_in(&mut self, report: &Report, checked_in: bool, now: Moment) {
+    fn take_in(&mut self, report: &Report, by_heartbeat: bool, now: Moment) {
         let Some(machine) = self.machines.get(&report.machine) else {
             return;
         };
@@ -389,7 +389,7 @@
             log::debug!("machine {} counted in", machine.name);
             self.dirty = true;
         }
-        self.apply_tasks(report, checked_in, now);
+        self.apply_tasks(report, by_heartbeat, now);
         self.drain_recalled(&report.machine, now);
     }
 
@@ -421,7 +421,7 @@
         }
     }
 
-    fn apply_tasks(&mut self, report: &Report, checked_in: bool, now: Moment) {
+    fn apply_tasks(&mut self, report: &Report, by_heartbeat: bool, now: Moment) {
         let name = &report.machine;
         let cache_gb = self.fleet.cache_of(&report.type_name);
         let mut shown = BTreeSet::new();
@@ -544,17 +544,17 @@
             let Some(attempt) = machine.attempts.get(&key) else {
                 continue;
             };
-            // A worker has one check-in in flight: once it sends a newer one that doesn't show
+            // A worker has one heartbeat in flight: once it sends a newer one that doesn't show
             // the start, the answer that held the start was dropped. The answer of a direct call
-            // proves nothing: it may have been made while the check-in's answer was on its way.
+            // proves nothing: it may have been made while the heartbeat's answer was on its way.
             let never = match (attempt.status, attempt.sent) {
                 (Some(_), _) => true,
                 _ if attempt.direct != Direct::Settled || attempt.wanted == Wanted::Run => false,
-                (None, Some(sent)) => checked_in && sent < (report.session, report.tick),
+                (None, Some(sent)) => by_heartbeat && sent < (report.session, report.tick),
                 (None, None) => true,
             };
             // The same proof, for a start that is still wanted: the answer was lost.
-            let lost = checked_in
+            let lost = by_heartbeat
                 && attempt.status.is_none()
                 && attempt.wanted == Wanted::Run
                 && attempt.direct == Direct::Settled
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -265,7 +265,7 @@
     assert!(body.iter().all(|b| *b == 7));
 }
 
-/// Hundreds of check-ins may be due at once: whoever asks for something else waits for a few of them
+/// Hundreds of heartbeats may be due at once: whoever asks for something else waits for a few of them
 /// and not for all, and they are all answered.
 #[test]
 fn others_do_not_wait_for_all_that_is_routine() {
