--- /dev/null
+++ b/tests/common/nodes.rs
@@ -0,0 +1,189 @@
+//! Real controller processes on loopback.
+
+use crate::standin::{Cloud, State};
+use aspenreel::http::cbor::{decode, encode};
+use aspenreel::http::client::Client;
+use aspenreel::state_store::from_value;
+use ciborium::cbor;
+use serde::Deserialize;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A free port; the listener is closed again just before the process takes it.
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+pub struct Nodes {
+    pub public: Vec<SocketAddr>,
+    pub configs: Vec<PathBuf>,
+    pub children: Vec<Child>,
+}
+
+impl Nodes {
+    pub fn start(state: SocketAddr, cloud: SocketAddr, tag: &str) -> Nodes {
+        Nodes::start_with([state; 3], cloud, tag)
+    }
+
+    pub fn start_with(states: [SocketAddr; 3], cloud: SocketAddr, tag: &str) -> Nodes {
+        let public: Vec<SocketAddr> = (0..3).map(|_| free()).collect();
+        let peers: Vec<SocketAddr> = (0..3).map(|_| free()).collect();
+        let mut nodes = Nodes {
+            public: public.clone(),
+            configs: Vec::new(),
+            children: Vec::new(),
+        };
+        for (n, state) in states.into_iter().enumerate() {
+            let members: String = (0..3)
+                .filter(|m| *m != n)
+                .map(|m| {
+                    format!(
+                        "[[members]]\nnode = \"n-{m}\"\nlocation = \"east\"\npeer_addr = \"{}\"\n",
+                        peers[m]
+                    )
+                })
+                .collect();
+            let text = format!(
+                "node = \"n-{n}\"\nlocation = \"east\"\npublic_addr = \"{}\"\n\
+                 peer_listen = \"{}\"\n{members}\
+                 [endpoints]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\
+                 [settings]\nzones = [\"east\"]\nskew_ms = 5.0\n\
+                 teams = [{{ name = \"a\", cpus = 16.0, cpus_max = 32.0 }}]\n\
+                 workers = {{ report_s = 0.5, lease_s = 4.0, cancel_s = 8.0 }}\n\
+                 state = {{ rps = 500.0, write_rps = 200.0, value_kb = 8.0, txn_ops = 12 }}\n\
+                 cloud = {{ rps = 50.0, list_lag_s = 1.0 }}\nquota = {{ sockets = 500 }}\n",
+                public[n], peers[n]
+            );
+            let name = format!("aspenreel-{}-{tag}-{n}.toml", std::process::id());
+            let path = std::env::temp_dir().join(name);
+            std::fs::write(&path, text).unwrap();
+            nodes.children.push(spawn(&path));
+            nodes.configs.push(path);
+        }
+        nodes
+    }
+
+    pub fn call(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> (u16, Option<Answer>) {
+        let result =
+            Client::new(self.public[node]).call(method, path, body, Duration::from_secs(5));
+        match result {
+            Ok((status, body)) => (status, decode(&body).ok()),
+            Err(_) => (0, None),
+        }
+    }
+
+    /// Asks again, as users do, until the answer is as wanted.
+    pub fn until(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        wanted: impl Fn(u16, &Option<Answer>) -> bool,
+    ) -> Option<Answer> {
+        let deadline = Instant::now() + Duration::from_secs(120);
+        loop {
+            let (status, answer) = self.call(node, method, path, body);
+            if wanted(status, &answer) {
+                return answer;
+            }
+            assert!(
+                Instant::now() < deadline,
+                "{method} {path}: still {status} {answer:?}"
+            );
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    pub fn until_status(&self, node: usize, id: &str, status: &str) {
+        self.until(node, "GET", &format!("/work/{id}"), &[], |_, a| {
+            a.as_ref().is_some_and(|a| a.status == status)
+        });
+    }
+}
+
+impl Drop for Nodes {
+    fn drop(&mut self) {
+        for child in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        for path in &self.configs {
+            let _ = std::fs::remove_file(path);
+        }
+    }
+}
+
+pub fn spawn(config: &Path) -> Child {
+    spawn_as(Path::new(env!("CARGO_BIN_EXE_aspenreel")), config)
+}
+
+/// A process of some version.
+pub fn spawn_as(program: &Path, config: &Path) -> Child {
+    Command::new(program)
+        .args([
+            "serve",
+            "--hold-ms",
+            "2000",
+            "--round-ms",
+            "200",
+            "--config",
+        ])
+        .arg(config)
+        .env("LOG_LEVEL", "error")
+        .stderr(Stdio::inherit())
+        .spawn()
+        .unwrap()
+}
+
+/// Three controllers that are up, and the stand-ins that they talk to.
+pub fn serving(tag: &str) -> (Arc<State>, Arc<Cloud>, Nodes) {
+    let (state, state_addr) = State::start();
+    let (cloud, cloud_addr) = Cloud::start();
+    let nodes = Nodes::start(state_addr, cloud_addr, tag);
+    let named = |i: usize| (format!("n-{i}"), nodes.public[i]);
+    *cloud.controllers.lock().unwrap() = (0..3).map(named).collect();
+    for n in 0..3 {
+        nodes.until(n, "GET", "/up", &[], |s, _| s == 200);
+    }
+    (state, cloud, nodes)
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Answer {
+    pub status: String,
+    #[serde(default)]
+    pub done: u32,
+}
+
+pub fn job(id: &str, pieces: u32, cpus: f64) -> Vec<u8> {
+    let wire = cbor!({
+        "ref" => id, "lane" => "train", "crew" => "a", "shape" => "array", "rank" => "normal",
+        "pieces" => pieces, "cpus" => cpus, "gpus" => 0, "ramGb" => 1.0, "bundle" => "img",
+        "imageGb" => 1.0, "builds" => null, "samePlace" => false, "spread" => false,
+        "loaners" => true, "guessS" => 1, "bookmarkS" => 0, "stashS" => 0, "extra" => [1, 2]
+    })
+    .unwrap();
+    encode(&wire)
+}
+
+pub fn leader(state: &State) -> Option<usize> {
+    #[derive(Deserialize)]
+    struct Record {
+        node: String,
+    }
+    let record: Record = from_value(&state.data("leader")?)?;
+    record.node.strip_prefix("n-")?.parse().ok()
+}
