Pages and transactions stay within the limits whoever leads and whatever names are

Cause, by reading: a page of an earlier version that is larger than the lowered limit was rewritten in place until all controllers knew the newest format, and refused each time, so that claims on it never grew; and transactions were packed by changes only, so that pages of long names could be beyond 64 KiB together and be refused for good.

What changes on a page that is too large now always goes to a page whose key sorts later: an earlier version takes the entry that it reads last in order of keys, which is the same one as the larger one that this version takes. So it needn't wait for the level, and the switch for it is gone. Transactions are packed by bytes too.

The test of large pages said that they stay in place while an earlier version may lead, since that would take either entry; that was wrong for keys that sort later. It is replaced by one that reads the pages as that version does, for three layouts. The model's state service now also limits conditions, bytes of a transaction, requests and changes a second, lowered in mid-flight around a change of leaders, with 200 claims and a job of 100,000 tasks; and a meeting has an earlier version write pages that are beyond the lowered limits.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -256,12 +256,6 @@
         }
     }
 
-    /// All controllers know that an entry may be on two pages, and that the larger one counts.
-    pub fn allow_moved_entries(&mut self) {
-        self.claims.let_move(true);
-        self.fleet.roster.let_move(true);
-    }
-
     /// The time of day, as far as this clock tells it.
     pub fn wall(&self, now: Moment) -> WallTime {
         WallTime(self.wall_at_start.0 + (now - self.started).0)
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -10,6 +10,9 @@
 use crate::time::{Micros, Moment};
 use std::time::Duration;
 
+/// What the writes of one transaction may have: the state service takes 64 KiB in all, with the leader's
+/// guard and what surrounds them.
+const TRANSACTION_BYTES: usize = 60 * 1024;
 /// Final states that complete within this long share a transaction.
 const GATHER: Duration = Duration::from_millis(25);
 /// New machines are written down at most once in so many tokens' time.
@@ -119,7 +122,7 @@
                 cluster.sending(&writes);
                 (writes, guard, term)
             };
-            let mut packs = pack(writes, site.txn_ops).into_iter();
+            let mut packs = pack(writes, site.txn_ops, TRANSACTION_BYTES).into_iter();
             for pack in packs.by_ref() {
                 let mut guards = vec![guard.clone()];
                 guards.extend(pack.iter().flat_map(|w| w.guards.iter().cloned()));
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -2,6 +2,7 @@
 
 use super::{Deciding, DoneRecord, FinalRecord, Job, JobId, Outcome, done_key, final_key, job_key};
 use crate::cluster::Cluster;
+use crate::http::cbor::json_len;
 use crate::state_store::pages::PageImage;
 use crate::state_store::{Change, Guard, to_value};
 use crate::workers::Direct;
@@ -40,6 +41,11 @@
     pub fn is_roster(&self) -> bool {
         matches!(self.kind, WriteKind::Roster(_))
     }
+
+    /// What it takes of a transaction, in bytes of JSON.
+    fn json_len(&self) -> usize {
+        json_len(&to_value(&self.guards)) + json_len(&to_value(&self.changes))
+    }
 }
 
 /// A page's write, guarded by the page's own revision.
@@ -388,20 +394,22 @@
     }
 }
 
-/// Packs writes into transactions of at most `ops` changes, keeping each write whole.
-pub fn pack(writes: Vec<Write>, ops: usize) -> Vec<Vec<Write>> {
+/// Packs writes into transactions of at most `ops` changes and `bytes` bytes, keeping each write whole.
+pub fn pack(writes: Vec<Write>, ops: usize, bytes: usize) -> Vec<Vec<Write>> {
     let mut packs: Vec<Vec<Write>> = Vec::new();
-    let mut size = 0;
+    let (mut packed_ops, mut packed_bytes) = (0, 0);
     for write in writes {
-        let n = write.changes.len();
+        let (own_ops, own_bytes) = (write.changes.len(), write.json_len());
+        let fits = packed_ops + own_ops <= ops && packed_bytes + own_bytes <= bytes;
         match packs.last_mut() {
-            Some(pack) if size + n <= ops => {
+            Some(pack) if fits => {
                 pack.push(write);
-                size += n;
+                packed_ops += own_ops;
+                packed_bytes += own_bytes;
             }
             _ => {
                 packs.push(vec![write]);
-                size = n;
+                (packed_ops, packed_bytes) = (own_ops, own_bytes);
             }
         }
     }
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -299,9 +299,6 @@
             }
         }
         cluster.drop_stale_claims();
-        if self.level().has_standing_jobs() {
-            cluster.allow_moved_entries();
-        }
         self.core().jobs_revision = jobs_revision.unwrap_or(lead.revision);
         Some(cluster)
     }
--- a/src/leadership/level.rs
+++ b/src/leadership/level.rs
@@ -78,14 +78,8 @@
             &mut *self.level.lock().unwrap_or_else(|e| e.into_inner()),
             level,
         );
-        if level.format == before.format {
-            return;
-        }
-        log::info!("all controllers know format {}", level.format);
-        if level.has_standing_jobs()
-            && let Some(cluster) = &mut self.core().cluster
-        {
-            cluster.allow_moved_entries();
+        if level.format != before.format {
+            log::info!("all controllers know format {}", level.format);
         }
     }
 
--- a/src/state_store/pages.rs
+++ b/src/state_store/pages.rs
@@ -4,6 +4,10 @@
 //! and is tiny (which machines may hold tasks, which tasks may have started) therefore shares
 //! values: a page holds up to [`PAGE_ENTRIES`] entries and is written whole. Each write guards
 //! the page's own revision, so that an unanswered older one can't undo it when it is applied late.
+//!
+//! A page that is larger than a value may be, as where the limit was lowered since, is read but not written
+//! any more. What changes on it goes to a page whose key sorts later, and the larger of the two entries
+//! counts. Versions that don't know that take the entry that they read last, in order of keys: the same one.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -38,8 +42,6 @@
     pages: BTreeMap<u32, Page<V>>,
     /// Bytes that a page may have.
     most: usize,
-    /// Entries of pages that are larger may be set on other pages instead.
-    may_move: bool,
 }
 
 impl<V> Default for Pages<V> {
@@ -66,18 +68,11 @@
             index: HashMap::new(),
             pages: BTreeMap::new(),
             most,
-            may_move: false,
         }
     }
 }
 
 impl<V: Clone + PartialOrd> Pages<V> {
-    /// Whether entries of a page that is larger than it may be go to others. The entry that stays
-    /// behind is superseded by the larger one; a controller of an earlier version would take either.
-    pub fn let_move(&mut self, may_move: bool) {
-        self.may_move = may_move;
-    }
-
     /// Takes in a page as it was read.
     pub fn load(&mut self, number: u32, revision: u64, entries: Vec<(String, V)>) {
         for (key, value) in &entries {
@@ -98,21 +93,11 @@
 
     /// Sets an entry; its page is due at once.
     pub fn put(&mut self, key: &str, value: V) {
-        let stays = |n: &&u32| !self.may_move || self.pages[*n].len() <= self.most;
-        let number = match self.index.get(key).filter(stays) {
-            Some(number) => *number,
-            None => {
-                let roomy = self.pages.iter();
-                let number = roomy
-                    .filter(|(_, p)| p.entries.len() < PAGE_ENTRIES)
-                    .filter(|(_, p)| p.len() + entry_len(key) <= self.most)
-                    .map(|(n, _)| *n)
-                    .next()
-                    .unwrap_or_else(|| self.pages.keys().last().map_or(0, |n| n + 1));
-                self.index.insert(key.to_string(), number);
-                number
-            }
+        let number = match self.index.get(key).copied() {
+            Some(number) if self.pages[&number].len() <= self.most => number,
+            current => self.page_with_room(key, current),
         };
+        self.index.insert(key.to_string(), number);
         let page = self.pages.entry(number).or_insert_with(|| Page {
             revision: 0,
             entries: BTreeMap::new(),
@@ -125,6 +110,20 @@
         page.entries.insert(key.to_string(), (value, page.version));
     }
 
+    /// A page with room for an entry, or a new one; for an entry that moves, one whose key sorts later
+    /// than that of its current page.
+    fn page_with_room(&self, key: &str, current: Option<u32>) -> u32 {
+        let sorts_later = |n: &u32| current.is_none_or(|c| n.to_string() > c.to_string());
+        let has_room = |page: &Page<V>| {
+            page.entries.len() < PAGE_ENTRIES && page.len() + entry_len(key) <= self.most
+        };
+        let mut roomy = self.pages.iter().filter(|(_, page)| has_room(page));
+        let roomy = roomy.find(|(number, _)| sorts_later(number));
+        let next = self.pages.keys().last().map_or(0, |n| n + 1);
+        let new = || (next..).find(sorts_later).unwrap_or(next);
+        roomy.map_or_else(new, |(number, _)| *number)
+    }
+
     /// Drops an entry; its page may be written when there is time.
     pub fn remove(&mut self, key: &str) {
         if let Some(number) = self.index.remove(key)
@@ -159,8 +158,7 @@
         self.pages
             .iter()
             .filter(|(_, p)| p.stored < if tidy { p.version } else { p.awaited })
-            // One that is too large, of an earlier version, is read but can't be written any more.
-            .filter(|(_, p)| !self.may_move || p.len() <= self.most)
+            .filter(|(_, p)| p.len() <= self.most)
             .map(|(number, p)| PageImage {
                 number: *number,
                 revision: p.revision,
--- a/tests/common/keys.rs
+++ b/tests/common/keys.rs
@@ -2,6 +2,8 @@
 //! in, so that stand-ins on real time and the model on simulated time share it.
 
 use aspenreel::http::cbor::{decode, encode, json_len};
+use aspenreel::state_store::bucket::TokenBucket;
+use aspenreel::time::Moment;
 use ciborium::{Value, cbor};
 use serde::Deserialize;
 use std::collections::{BTreeMap, HashMap};
@@ -16,12 +18,30 @@
     holds: BTreeMap<u64, (Duration, Duration)>,
     next_hold: u64,
     epoch: u64,
-    /// Bytes of a value and changes of a transaction, where they are limited.
-    pub limits: Option<(usize, usize)>,
-    /// Transactions that were beyond them.
+    /// What the service takes, where that is limited.
+    pub limits: Option<Limits>,
+    /// Requests and changes since then.
+    spent: Option<(TokenBucket, TokenBucket)>,
+    /// Transactions that were larger than that.
     pub refused: u32,
+    /// Requests that were more than that, and all since then.
+    pub too_many: u32,
+    pub counted: u32,
 }
 
+/// What the state service takes.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+    pub rps: f64,
+    pub write_rps: f64,
+}
+
+/// Bytes of a transaction, and how many conditions it may have for each change.
+const TRANSACTION_BYTES: usize = 64 * 1024;
+const GUARDS_OF_OPS: usize = 4;
+
 #[derive(Deserialize)]
 struct Multi {
     guards: Vec<GuardIn>,
@@ -120,12 +140,9 @@
 
     pub fn multi(&mut self, body: &[u8]) -> Answer {
         let multi: Multi = decode(body).unwrap();
-        if let Some((bytes, ops)) = self.limits {
-            let large = |c: &ChangeIn| c.data.as_ref().is_some_and(|d| json_len(d) > bytes);
-            if multi.apply.len() > ops || multi.apply.iter().any(large) {
-                self.refused += 1;
-                return answer(400, cbor!({"error" => "too large"}));
-            }
+        if self.is_too_large(&multi, body) {
+            self.refused += 1;
+            return answer(400, cbor!({"error" => "too large"}));
         }
         for change in &multi.apply {
             if change.permit.is_some_and(|p| !self.holds.contains_key(&p)) {
@@ -157,6 +174,41 @@
         answer(200, cbor!({"epoch" => epoch}))
     }
 
+    fn is_too_large(&self, multi: &Multi, body: &[u8]) -> bool {
+        let Some(limits) = self.limits else {
+            return false;
+        };
+        let large = |c: &ChangeIn| {
+            let data = c.data.as_ref();
+            data.is_some_and(|d| json_len(d) > limits.value_bytes)
+        };
+        let whole: Value = decode(body).unwrap();
+        multi.apply.len() > limits.txn_ops
+            || multi.guards.len() > GUARDS_OF_OPS * limits.txn_ops
+            || multi.apply.iter().any(large)
+            || json_len(&whole) > TRANSACTION_BYTES
+    }
+
+    /// True if the request, or its changes, are more than the service takes now.
+    fn is_too_much(&mut self, path: &str, body: &[u8], now: Duration) -> bool {
+        let Some(limits) = self.limits else {
+            return false;
+        };
+        let now = Moment(now.as_micros() as u64);
+        let (requests, changes) = self.spent.get_or_insert_with(|| {
+            let full = |rate| TokenBucket::new(rate, rate, now);
+            (full(limits.rps), full(limits.write_rps))
+        });
+        let wanted = match path {
+            "/multi" => decode::<Multi>(body).unwrap().apply.len(),
+            _ => 0,
+        };
+        self.counted += 1;
+        let granted = requests.take(1.0, now) && changes.take(wanted as f64, now);
+        self.too_many += u32::from(!granted);
+        !granted
+    }
+
     /// What a watch is told now; None if there is nothing yet.
     pub fn changes(&self, watch: &Watch) -> Option<Answer> {
         let seen = self.log.partition_point(|(e, _, _)| *e <= watch.since);
@@ -237,6 +289,9 @@
     /// Everything but watches.
     pub fn call(&mut self, method: &str, path: &str, body: &[u8], now: Duration) -> Answer {
         self.expire(now);
+        if self.is_too_much(path, body, now) {
+            return answer(429, cbor!({"error" => "too many"}));
+        }
         match path.split('?').next().unwrap() {
             "/multi" => self.multi(body),
             "/store" => self.range(path),
--- a/tests/model/meetings.rs
+++ b/tests/model/meetings.rs
@@ -1,8 +1,10 @@
 //! Each meeting that the operators name, brought about on purpose, its times drawn by seeds.
 
 use crate::checker::{JobPlan, Question, Told};
+use crate::keys::Limits;
 use crate::world::{CANCEL_S, LEASE_S, Setup, World};
 use crate::{older, play, trouble};
+use aspenreel::http::cbor::json_len;
 use std::sync::Arc;
 
 const SEEDS: u64 = 8;
@@ -862,17 +864,44 @@
     });
 }
 
-/// The state service takes less from some moment on, without notice: nothing that is written is beyond
-/// the limits to come.
+/// What the state service takes once its limits are lowered.
+const LOWERED: Limits = Limits {
+    value_bytes: 2048,
+    txn_ops: 4,
+    rps: 100.0,
+    write_rps: 30.0,
+};
+
+/// The state service takes less from some moment on, without notice, just before or after the leader
+/// changes: values, changes in a transaction, requests and changes a second. There are hundreds of claims
+/// and a job of 100,000 tasks; nothing is beyond the limits, and all goes on.
 #[test]
 fn the_state_service_lowers_its_limits() {
-    let ends = play(SEEDS, &setup(), |w, rng| {
-        w.state().keys.limits = Some((2048, 4));
+    let site = Setup {
+        next: "value_kb = 2.0, txn_ops = 4, rps = 100.0, write_rps = 30.0",
+        ..setup()
+    };
+    let ends = play(SEEDS, &site, |w, rng| {
         standing_jobs(w, rng);
-        w.at(50.0, |w| w.crash(w.leader_or_any(), 0.5));
-        w.at(95.0, |w| {
-            let refused = w.state().keys.refused;
-            assert_eq!(refused, 0, "transactions beyond the limits");
+        for i in 0..200 {
+            let mut plan = JobPlan::new(1000 + i, 1, 0.1, 30.0);
+            plan.rank = "low";
+            w.submit(10.0 + 0.15 * f64::from(i), plan);
+        }
+        let mut large = JobPlan::new(2000, 100_000, 0.1, 2.0);
+        large.rank = "low";
+        w.submit(30.0, large);
+        let lowered = 42.0 + rng.f64() * 16.0;
+        w.at(lowered, |w| w.state().keys.limits = Some(LOWERED));
+        let crash = lowered - 2.0 + rng.f64() * 4.0;
+        w.at(crash, |w| w.crash(w.leader_or_any(), 0.5));
+        w.at(110.0, |w| w.user_cancels("run-2000"));
+        w.at(125.0, |w| {
+            let state = w.state();
+            let keys = &state.keys;
+            assert_eq!(keys.refused, 0, "transactions beyond the limits");
+            let (over, all) = (keys.too_many, keys.counted);
+            assert!(over * 200 < all, "{over} of {all} requests too many");
         });
     });
     for end in ends {
@@ -880,6 +909,53 @@
     }
 }
 
+/// The limits are lowered while an earlier version may still lead, which writes larger pages: these are
+/// left as they are, and what changes on them is recorded all the same.
+#[test]
+fn pages_of_an_earlier_version_are_beyond_the_limits() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        w.at(0.0, |w| hide_statement(w, 2));
+        // Many that run for long, so that their claims stay, and a few whose claims grow.
+        let ids = jobs(w, 4.0, 20.0, 56, |i, p| {
+            p.id = format!("run-{:040}", 100 + i);
+            p.tasks = 1;
+            p.cpus = 0.4;
+            p.run_s = 80.0;
+        });
+        jobs(w, 16.0, 22.0, 4, |i, p| {
+            p.id = format!("run-{:040}", 500 + i);
+            p.tasks = 60;
+            p.cpus = 1.0;
+            p.run_s = 8.0;
+        });
+        cancel_each(w, &every_other(&ids, 7), 60.0, 80.0, rng);
+        let at = 24.0 + rng.f64() * 6.0;
+        w.at(at, |w| {
+            let leader = w.leader_or_any();
+            older::leads(w, leader, 2.0);
+            w.after(11_000_000, |w| {
+                let mut state = w.state();
+                let keys = &mut state.keys;
+                keys.limits = Some(LOWERED);
+                let pages = keys
+                    .rows
+                    .iter()
+                    .filter(|(key, _)| key.starts_with("claims/"));
+                let sizes: Vec<_> = pages.map(|(key, row)| (key, json_len(&row.0))).collect();
+                let is_large = |(_, size): &(_, usize)| *size > LOWERED.value_bytes;
+                assert!(
+                    sizes.iter().any(is_large),
+                    "no page is too large: {sizes:?}"
+                );
+            });
+        });
+        w.at(110.0, |w| assert_eq!(w.state().keys.refused, 0));
+    });
+    for end in ends {
+        assert!(end.done > 40 && end.leaders >= 2, "{end:?}");
+    }
+}
+
 /// While a controller of the earlier version may come back, no standing job is accepted: users are told
 /// to come back at once. Once all know what it is, all accept it.
 #[test]
--- a/tests/model/older.rs
+++ b/tests/model/older.rs
@@ -1,13 +1,17 @@
 //! A controller of the version in production that takes the lead for a while, as far as the records show
-//! it: it raises the term in the form that it knows, and drops the claims of jobs that it can't read.
+//! it: it raises the term in the form that it knows, drops the claims of jobs that it can't read, and writes
+//! pages as large as values may be before the limits are lowered.
 
+use crate::keys::Keys;
 use crate::sched::secs;
 use crate::world::World;
 use aspenreel::http::cbor::{decode, encode};
 use aspenreel::leadership::LeaderRecord;
+use aspenreel::state_store::pages::PAGE_ENTRIES;
 use aspenreel::state_store::{Change, Guard, from_value, to_value};
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -73,7 +77,7 @@
                 lease: Some(permit),
             },
         ];
-        apply.extend(pages_without_unknown_jobs(keys));
+        apply.extend(claims_rewritten(keys));
         let guards = vec![Guard::new("leader", 0), Guard::new("term", revision)];
         let body = encode(&to_value(&Transaction { guards, apply }));
         let (status, _) = keys.call("POST", "/multi", &body, now);
@@ -83,23 +87,31 @@
     true
 }
 
-/// Pages of claims, without entries of jobs that the version in production can't read.
-fn pages_without_unknown_jobs(keys: &crate::keys::Keys) -> Vec<Change> {
-    let unknown = |id: &String| {
+/// All claims but those of jobs that the version in production can't read, on pages of 64 entries.
+fn claims_rewritten(keys: &Keys) -> Vec<Change> {
+    let unknown = |id: &str| {
         let job = keys.data(&format!("jobs/{id}"));
         job.is_some_and(|data| shape_of(&data) != "array")
     };
-    let pages = keys
+    let stored: Vec<&String> = keys
         .rows
-        .iter()
-        .filter(|(key, _)| key.starts_with("claims/"));
-    pages
-        .filter_map(|(key, (data, _, _))| {
-            let entries: Vec<(String, u32)> = from_value(data)?;
-            let known: Vec<_> = entries.iter().filter(|(id, _)| !unknown(id)).collect();
-            (known.len() < entries.len()).then(|| Change::write(key, to_value(&known)))
-        })
-        .collect()
+        .keys()
+        .filter(|key| key.starts_with("claims/"))
+        .collect();
+    let mut claims: BTreeMap<String, u32> = BTreeMap::new();
+    for key in &stored {
+        let entries: Vec<(String, u32)> = from_value(&keys.rows[*key].0).unwrap();
+        for (id, below) in entries {
+            let known = claims.entry(id).or_insert(0);
+            *known = below.max(*known);
+        }
+    }
+    claims.retain(|id, _| !unknown(id));
+    let claims: Vec<(String, u32)> = claims.into_iter().collect();
+    let pages = claims.chunks(PAGE_ENTRIES).enumerate();
+    let written = pages.map(|(n, page)| Change::write(format!("claims/{n}"), to_value(&page)));
+    let deleted = stored.iter().map(|key| Change::delete(key.as_str()));
+    deleted.chain(written).collect()
 }
 
 fn shape_of(data: &Value) -> String {
--- a/tests/model/world.rs
+++ b/tests/model/world.rs
@@ -37,6 +37,8 @@
     pub fetch_s: f64,
     pub write_rps: f64,
     pub hold_ms: u64,
+    /// Limits of the state service to come, as the settings tell them.
+    pub next: &'static str,
 }
 
 impl Default for Setup {
@@ -50,6 +52,7 @@
             fetch_s: 1.5,
             write_rps: 60.0,
             hold_ms: 8000,
+            next: "value_kb = 2.0, txn_ops = 4",
         }
     }
 }
@@ -233,11 +236,12 @@
              [settings]\nzones = [\"east\", \"west\"]\nskew_ms = 5.0\nteams = [{}]\n\
              workers = {{ report_s = {REPORT_S}, lease_s = {LEASE_S}, cancel_s = {CANCEL_S} }}\n\
              state = {{ rps = 150.0, write_rps = {}, value_kb = 8.0, txn_ops = 12, \
-             next = {{ value_kb = 2.0, txn_ops = 4 }} }}\n\
+             next = {{ {} }} }}\n\
              cloud = {{ rps = 5.0, list_lag_s = 3.0 }}\nquota = {{ sockets = 200 }}\n",
             self.zone_of_node(n),
             teams.join(", "),
             self.setup.write_rps,
+            self.setup.next,
         ))
         .unwrap()
     }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -4,6 +4,7 @@
 use aspenreel::fleet::wire::Catalog;
 use aspenreel::http::cbor::{decode, encode, json_len};
 use aspenreel::jobs::doneset::TaskSet;
+use aspenreel::jobs::rounds::{Write, WriteKind, pack, page_write};
 use aspenreel::jobs::spec::{Shape, Submission};
 use aspenreel::jobs::{DoneRecord, FinalRecord, JobView, Outcome, ViewState};
 use aspenreel::leadership::LeaderRecord;
@@ -11,7 +12,7 @@
 use aspenreel::leadership::term::TermRecord;
 use aspenreel::settings::{Settings, StateSettings};
 use aspenreel::state_store::pages::Pages;
-use aspenreel::state_store::{Row, from_value, to_value};
+use aspenreel::state_store::{Change, Guard, Row, from_value, to_value};
 use ciborium::cbor;
 
 fn hex(bytes: &[u8]) -> String {
@@ -268,33 +269,73 @@
     );
 }
 
-/// A page of an earlier version that is too large is read; what changes on it goes to another page, but
-/// only once no controller of that version can lead: it would take either entry.
+/// A page that is too large, as one that was written before the limit was lowered, is read; what changes on
+/// it goes to a page whose key sorts later. So an earlier version, which takes the entry that it reads last
+/// in order of keys, and this one, which takes the larger one, both know the newer entry.
 #[test]
 fn large_pages_of_an_earlier_version() {
     let name = |i: u32| format!("run-{i:040}");
     let entries: Vec<(String, u32)> = (0..64).map(|i| (name(i), 5)).collect();
-    let mut pages: Pages<u32> = Pages::new(2032);
-    pages.load(3, 70, entries.clone());
-    pages.put(&name(1), 9);
-    assert_eq!(pages.due(false)[0].number, 3, "in place at first");
-    let mut pages: Pages<u32> = Pages::new(2032);
-    pages.load(3, 70, entries.clone());
-    pages.let_move(true);
-    pages.put(&name(1), 9);
-    let due = pages.due(true);
-    assert_eq!((due.len(), due[0].entries.clone()), (1, vec![(name(1), 9)]));
-    // Read back in whichever order, the larger entry counts.
-    for order in [[3, 4], [4, 3]] {
-        let mut next: Pages<u32> = Pages::new(2032);
-        for number in order {
-            let rows = match number {
-                3 => entries.clone(),
-                _ => due[0].entries.clone(),
-            };
-            next.load(number, 80, rows);
+    for (large, others, expected) in [(3, vec![], 4), (9, vec![], 90), (2, vec![1, 3, 10], 3)] {
+        let mut pages: Pages<u32> = Pages::new(2032);
+        pages.load(large, 70, entries.clone());
+        for other in others {
+            pages.load(other, 71, vec![(name(100 + other), 1)]);
         }
-        assert_eq!(next.get(&name(1)), Some(&9));
+        pages.put(&name(1), 9);
+        let due = pages.due(true);
+        let moved = due.iter().map(|image| image.number).collect::<Vec<_>>();
+        assert_eq!(moved, [expected], "the large page stays as it is");
+        assert!(due[0].entries.contains(&(name(1), 9)));
+        // Once it is there it stays there.
+        pages.written(expected, due[0].version, 80);
+        assert!(pages.is_stored(&name(1)));
+        pages.put(&name(1), 11);
+        assert_eq!(pages.due(false)[0].number, expected);
+
+        // The earlier version reads page by page in order of keys, and the last entry stands.
+        let mut stored = [
+            (large.to_string(), entries.clone()),
+            (expected.to_string(), due[0].entries.clone()),
+        ];
+        stored.sort_by(|a, b| a.0.cmp(&b.0));
+        let read_by_production: std::collections::HashMap<String, u32> =
+            stored.iter().flat_map(|(_, page)| page.clone()).collect();
+        assert_eq!(read_by_production[&name(1)], 9);
+        // This one, in whichever order, takes the larger entry.
+        for order in [[0, 1], [1, 0]] {
+            let mut next: Pages<u32> = Pages::new(2032);
+            for at in order {
+                let (key, page) = &stored[at];
+                next.load(key.parse().unwrap(), 80, page.clone());
+            }
+            assert_eq!(next.get(&name(1)), Some(&9));
+        }
+    }
+}
+
+/// A transaction stays within its limits of changes and of bytes, whatever pages have names of.
+#[test]
+fn transactions_stay_small() {
+    let most = 8192 - 16;
+    let mut pages: Pages<u32> = Pages::new(most);
+    for i in 0..2000 {
+        pages.put(&format!("run-{i:040}"), 100_000);
+    }
+    let writes: Vec<Write> = pages
+        .due(false)
+        .into_iter()
+        .map(|image| page_write("claims/", image, WriteKind::Claims))
+        .collect();
+    let count = writes.len();
+    let packs = pack(writes, 24, 60 * 1024);
+    assert_eq!(packs.iter().map(Vec::len).sum::<usize>(), count);
+    assert!(packs.len() > 1, "they don't fit into one");
+    for pack in &packs {
+        let changes: Vec<&Change> = pack.iter().flat_map(|w| &w.changes).collect();
+        let guards: Vec<&Guard> = pack.iter().flat_map(|w| &w.guards).collect();
+        let size = json_len(&to_value(&(guards, changes)));
+        assert!(pack.len() <= 24 && size <= 64 * 1024, "{size}");
     }
 }
 
