Room for services is there before the first one comes, and for what comes in a boot

Ruled out: the upgrade (the level is there 20 s before) and placement (nothing that fits had room).

Now an objective on starting times that leave no time for a boot, of a class without arrays, tells of services before the first one; room is kept on two of the smallest machines at least, for two of the largest services, or for twice what arrives in a boot, whichever is more; and what is missing is rented at once.

The reserves move to a module of their own. The trace of the room kept for replicas now also shows the objective, what is missing, and two services more than before.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,13 +1,13 @@
 //! The fleet: which machines are wanted, rented and returned.
 
 mod edge;
+mod reserve;
 pub mod wire;
 
 use crate::cluster::Cluster;
 use crate::jobs::Job;
 use crate::jobs::rounds::{Write, WriteKind, page_write};
 use crate::placement::Room;
-use crate::settings::Objective;
 use crate::state_store::pages::Pages;
 use crate::time::{Micros, Moment};
 use std::cmp::Reverse;
@@ -214,8 +214,9 @@
         {
             wanted.insert(offer, 1);
         }
-        if let Some(offer) = self.replica_offer(now) {
-            wanted.entry(offer).or_insert(1);
+        if let Some((offer, count)) = self.replica_offer(now) {
+            let planned = wanted.entry(offer).or_insert(0);
+            *planned = count.max(*planned);
         }
         for (offer, count) in wanted {
             let mut left = count;
@@ -336,108 +337,6 @@
         wanted
     }
 
-    /// Objectives on the starting times of work that ends. Replicas are asked for at once anyway.
-    fn waits(&self) -> impl Iterator<Item = &Objective> {
-        let waits = self.config.objectives.iter().filter(|o| o.kind == "wait");
-        waits.filter(|o| {
-            let class = o.class.as_ref();
-            class.is_none_or(|c| self.array_classes.contains(c))
-        })
-    }
-
-    fn aims_at_waits(&self) -> bool {
-        self.waits().next().is_some()
-    }
-
-    /// True if the operator aims at starting work sooner than a machine can be had: then room is
-    /// kept ready. Aims that leave time for a boot are met by renting at once.
-    fn keeps_ready(&self) -> bool {
-        let boots = self.fleet.catalog.iter().map(|t| t.boot);
-        let soonest = boots.min().unwrap_or_default().scaled(LATE_BOOT);
-        self.waits()
-            .any(|o| Micros::from_secs_f64(o.within_s) < soonest)
-    }
-
-    /// CPUs free or on their way beyond the reserve that is wanted; negative if it falls short.
-    ///
-    /// Whoever aims at starting work within a time can't wait for a boot: some room is kept
-    /// ready, as a share of what is in use. Where only deadlines count, none is.
-    fn spare_cpu(&self) -> i64 {
-        if !self.keeps_ready() {
-            return i64::MAX;
-        }
-        let (mut free, mut total) = (0, 0);
-        for m in self.machines.values() {
-            if m.returning || m.faulty || m.recalled || m.lost {
-                continue;
-            }
-            let room = self.fleet.room_of(&m.type_name);
-            total += room.cpu;
-            free += if m.last_report.is_none() {
-                room.cpu
-            } else {
-                self.free_room(m).cpu
-            };
-        }
-        let used = (total - free) as f64;
-        free - (used * self.config.reserve) as i64
-    }
-
-    /// CPUs of ordinary machines that a replica could have at once, beyond what is kept for them; None
-    /// if nobody needs any. Replicas that may not use spot machines can't wait for a boot: while there are
-    /// standing jobs, room for two of the largest is kept. What lower ranks use counts as room, since it
-    /// is stopped for them.
-    fn replica_room(&self) -> Option<i64> {
-        let standing = self.jobs.table.values();
-        let standing = standing.filter(|j| j.spec.standing && !j.spec.spot && !j.is_called_off());
-        let total = |j: &Job| j.spec.need.by(i64::from(j.spec.tasks)).cpu;
-        let largest = standing.map(total).max()?;
-        let there = |m: &&crate::workers::Machine| {
-            !m.spot && !m.returning && !m.faulty && !m.recalled && !m.lost
-        };
-        let mut room = -2 * largest;
-        for m in self.machines.values().filter(there) {
-            let taken = |key: &crate::workers::AttemptKey| {
-                let job = self.jobs.table.get(&key.0).filter(|j| j.spec.standing);
-                job.map_or(0, |j| j.spec.need.cpu)
-            };
-            let held = m.attempts.iter().filter(|(_, a)| a.holds());
-            room += self.fleet.room_of(&m.type_name).cpu - held.map(|(k, _)| taken(k)).sum::<i64>();
-        }
-        Some(room)
-    }
-
-    /// The cheapest ordinary machine, when room for replicas falls short.
-    fn replica_offer(&self, now: Moment) -> Option<Offer> {
-        if self.replica_room()? >= 0 {
-            return None;
-        }
-        let offers = self.fleet.offers().into_iter();
-        offers
-            .filter(|(o, _)| !o.spot && self.fleet.no_room.get(o).is_none_or(|t| *t <= now))
-            .min_by(|(_, a), (_, b)| a.total_cmp(b))
-            .map(|(offer, _)| offer)
-    }
-
-    /// The cheapest spot machine, when the reserve falls short.
-    fn reserve_offer(&self, now: Moment) -> Option<Offer> {
-        if self.spare_cpu() >= 0 {
-            return None;
-        }
-        self.fleet
-            .offers()
-            .into_iter()
-            .filter(|(o, _)| o.spot)
-            .filter(|(o, _)| self.fleet.no_room.get(o).is_none_or(|t| *t <= now))
-            .min_by(|(a, pa), (b, pb)| {
-                let cost = |o: &Offer, price: f64| {
-                    price / self.fleet.catalog[o.type_index].room.cpu.max(1) as f64
-                };
-                cost(a, *pa).total_cmp(&cost(b, *pb))
-            })
-            .map(|(offer, _)| offer)
-    }
-
     /// The cheapest offer that helps: spot machines wherever they start the task sooner; ordinary
     /// ones, which cost several times as much, where they save a long wait, or for want of others.
     fn choose_offer(
@@ -700,7 +599,7 @@
             .map(|t| (t.name.clone(), t.boot))
             .collect();
         let mut spare = self.spare_cpu();
-        let mut replica_room = self.replica_room().unwrap_or(i64::MAX);
+        let mut replica_room = self.replica_room(now).unwrap_or(i64::MAX);
         let started = self.started;
         for m in self.machines.values_mut() {
             if m.returning {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -1212,20 +1212,44 @@
     assert_snapshot!(w.log);
 }
 
-/// Room for replicas that may not use spot machines is kept ready while there are standing jobs: what
-/// lower ranks use counts, since it is stopped for them. Without standing jobs none is.
+/// Room for replicas that may not use spot machines is kept ready: on two of the smallest ordinary machines
+/// at least, as soon as an objective on starting times tells of them, and for what comes within a boot.
+/// What lower ranks use counts, since it is stopped for them. Without standing jobs or such an objective
+/// none is kept.
 #[test]
 fn room_is_kept_for_replicas() {
     let mut w = World::new(2, one_team());
     w.heartbeat("big-east-1", &[]);
     w.list(&[("big-east-1", "running")]);
     w.rentals();
-    w.job(submission("run-1", |s| {
-        s.shape = Shape::Standing;
-        s.loaners = false;
-        s.pieces = 3;
-    }));
+    w.note("an objective: services start within 2 s");
+    w.cluster.config.objectives = vec![Objective {
+        kind: "wait".into(),
+        class: Some("portal".into()),
+        within_s: 2.0,
+    }];
     w.at(3.0).rentals();
+    w.cluster
+        .hired("r-2-1", HireResult::Rented(Vec::new()), at(3.0));
+    w.note("two other machines are up");
+    let reports = |w: &mut World| {
+        for name in ["small-east-8", "small-east-9"] {
+            let mut report = w.report(name, 2, 1, &[]);
+            report.spot = false;
+            w.send(&report);
+        }
+    };
+    reports(&mut w);
+    w.at(6.0).rentals();
+    for n in 1..4 {
+        w.job(submission(&format!("run-{n}"), |s| {
+            s.shape = Shape::Standing;
+            s.lane = "portal".into();
+            s.loaners = false;
+            s.pieces = 1;
+        }));
+    }
+    w.tick(7.0).bound().rentals();
     assert_snapshot!(w.log);
 }
 
