Workers, fleet, placement and takeover in small modules, under the field's names

Workers: machine, evidence, sessions, orders. Fleet: plan, list, returns, reserve. Placement: resources, order, usage, zones, fit, preemption; placing a job is three steps with names. Takeover: reading is a module, one function a kind of record. Doubt is a suspicion, a ghost an orphan, what is wanted of an attempt its desired state, a hire a rental request, poked machines those with direct calls due.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -47,7 +47,7 @@
     #[arg(long, env = "ASPENREEL_WRITE_BUDGET", default_value_t = 60,
           value_parser = clap::value_parser!(u64).range(1..=90))]
     pub write_budget: u64,
-    /// Life of the leader's lease in the state service (its hold), in milliseconds; with the workers'
+    /// Life of the leader's lease in the state service , in milliseconds; with the workers'
     /// lease it must fit into the time for a cancellation [default: 8000, or less where that needs it]
     #[arg(long, env = "ASPENREEL_HOLD_MS",
           value_parser = clap::value_parser!(u64).range(1000..=60_000))]
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -12,7 +12,7 @@
 use crate::state_store::pages::Pages;
 use crate::time::{Micros, Moment, WallTime, at_most};
 use crate::workers::wire::TaskStatus;
-use crate::workers::{Machine, Wanted};
+use crate::workers::{DesiredState, Machine};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What an operator and the platform set.
@@ -88,7 +88,7 @@
     /// The time of day at `started`.
     pub wall_at_start: WallTime,
     /// Machines with orders that go straight to them.
-    pub poked: BTreeSet<String>,
+    pub direct_due: BTreeSet<String>,
     /// When the direct calls that are under way began.
     pub calls: Vec<Moment>,
     /// The process falls behind for want of processor time: what heartbeat answers carry as well
@@ -129,7 +129,7 @@
             older_led_at: 0,
             awaiting_claim: BTreeMap::new(),
             wall_at_start: WallTime(0),
-            poked: BTreeSet::new(),
+            direct_due: BTreeSet::new(),
             calls: Vec::new(),
             behind: false,
             behind_at: Moment(0),
@@ -220,23 +220,23 @@
             job.spec.tasks,
             job.placed_at.map(|t| (t - job.accepted_at).as_secs_f64())
         );
-        self.call_off(id);
+        self.stop_attempts_of(id);
     }
 
     /// Stops whatever there is of a job. Not even time to save: nobody has a use for what it does.
-    fn call_off(&mut self, id: JobId) {
+    fn stop_attempts_of(&mut self, id: JobId) {
         for m in self.machines.values_mut() {
             let own = (id, 0, 0)..=(id, u32::MAX, u64::MAX);
             let mut any = false;
             for (_, attempt) in m.attempts.range_mut(own) {
                 any = true;
-                attempt.wanted = Wanted::Stop {
+                attempt.desired = DesiredState::Stop {
                     leeway: Micros::ZERO,
                 };
             }
             if any {
                 m.rooms.set(None);
-                self.poked.insert(m.name.clone());
+                self.direct_due.insert(m.name.clone());
             }
         }
         self.dirty = true;
@@ -274,7 +274,7 @@
             let first = !std::mem::replace(&mut job.cancel_asked, true);
             self.urgent_rounds = true;
             if first {
-                self.call_off(job_id);
+                self.stop_attempts_of(job_id);
             }
         }
         true
@@ -484,8 +484,8 @@
                 unusable += m.total.cpu;
             }
             for (key, a) in m.attempts.iter().filter(|(_, a)| a.holds()) {
-                let state = match (a.wanted, a.status) {
-                    (Wanted::Stop { .. }, _) => "stopping",
+                let state = match (a.desired, a.status) {
+                    (DesiredState::Stop { .. }, _) => "stopping",
                     (_, None) => "starting",
                     (_, Some(TaskStatus::Fetching)) => "fetching",
                     (_, Some(TaskStatus::Running)) => "running",
--- a/src/fleet/edge.rs
+++ b/src/fleet/edge.rs
@@ -1,6 +1,6 @@
 //! Calls to the cloud, behind their tokens, and the catalog's copy in the state service.
 
-use super::HireResult;
+use super::RentalResult;
 use super::wire::{Catalog, MachineList, Names, RentRequest};
 use crate::http::cbor::{decode, encode, json_len};
 use crate::node::Node;
@@ -179,53 +179,53 @@
 
     fn rent(&self) {
         let now = self.now();
-        let hires = {
+        let rental_requests = {
             let mut core = self.core();
             let Some((_, cluster)) = core.acting(now) else {
                 return;
             };
             cluster.plan_rentals(now);
-            cluster.fleet.hires.clone()
+            cluster.fleet.rental_requests.clone()
         };
-        for hire in hires {
+        for request in rental_requests {
             let now = self.now();
             if self.core().acting(now).is_none() {
                 return;
             }
             log::info!(
                 "renting {} {} in {} (spot {}) as {}",
-                hire.count,
-                hire.type_name,
-                hire.offer.zone,
-                hire.offer.spot,
-                hire.name
+                request.count,
+                request.type_name,
+                request.offer.zone,
+                request.offer.spot,
+                request.name
             );
             let body = encode(&RentRequest {
-                hire: &hire.name,
-                build: &hire.type_name,
-                yard: &hire.offer.zone,
-                loaners: hire.offer.spot,
-                count: hire.count,
+                hire: &request.name,
+                build: &request.type_name,
+                yard: &request.offer.zone,
+                loaners: request.offer.spot,
+                count: request.count,
             });
             let result = match self.cloud_call("POST", "/rentals", &body) {
                 Some((200, body)) => match decode::<Names>(&body) {
-                    Ok(names) => HireResult::Rented(names.hosts),
+                    Ok(names) => RentalResult::Rented(names.hosts),
                     Err(e) => {
                         log::info!("malformed rental: {e}");
-                        HireResult::Unknown
+                        RentalResult::Unknown
                     }
                 },
-                Some((503, body)) if no_capacity(&body) => HireResult::NoCapacity,
+                Some((503, body)) if no_capacity(&body) => RentalResult::NoCapacity,
                 Some((400, _)) => {
-                    log::error!("the cloud calls rental {} malformed", hire.name);
-                    HireResult::NoCapacity
+                    log::error!("the cloud calls rental {} malformed", request.name);
+                    RentalResult::NoCapacity
                 }
-                _ => HireResult::Unknown,
+                _ => RentalResult::Unknown,
             };
-            let failed = matches!(result, HireResult::Unknown);
+            let failed = matches!(result, RentalResult::Unknown);
             let now = self.now();
             if let Some((_, cluster)) = self.core().acting(now) {
-                cluster.hired(&hire.name, result, now);
+                cluster.rental_answered(&request.name, result, now);
             }
             if failed {
                 self.os.sleep(Duration::from_millis(500));
--- /dev/null
+++ b/src/fleet/list.rs
@@ -0,0 +1,181 @@
+//! The cloud's machine list: what it proves of machines, and answers to rental requests.
+
+use super::wire::ListedMachine;
+use super::{ListStatus, NO_ROOM_PAUSE, RentalResult};
+use crate::cluster::Cluster;
+use crate::time::{Micros, Moment};
+use std::collections::BTreeSet;
+
+impl Cluster {
+    /// Settles a rental's answer.
+    pub fn rental_answered(&mut self, name: &str, result: RentalResult, now: Moment) {
+        let Some(at) = self
+            .fleet
+            .rental_requests
+            .iter()
+            .position(|h| h.name == name)
+        else {
+            return;
+        };
+        match result {
+            RentalResult::Unknown => {}
+            RentalResult::NoCapacity => {
+                let request = self.fleet.rental_requests.remove(at);
+                self.fleet
+                    .no_room
+                    .insert(request.offer, now + NO_ROOM_PAUSE);
+            }
+            RentalResult::Rented(names) => {
+                let request = self.fleet.rental_requests.remove(at);
+                if names.len() < request.count as usize {
+                    self.fleet
+                        .no_room
+                        .insert(request.offer.clone(), now + NO_ROOM_PAUSE);
+                }
+                for machine in names {
+                    if self.fleet.is_gone(&machine) || self.machines.contains_key(&machine) {
+                        continue;
+                    }
+                    let mut m = crate::workers::Machine::new(
+                        &machine,
+                        &request.type_name,
+                        &request.offer.zone,
+                        request.offer.spot,
+                        self.fleet.room_of(&request.type_name),
+                        now,
+                    );
+                    m.list_status = Some(ListStatus::Starting);
+                    m.last_listed = Some(now);
+                    m.exists_since = Some(now);
+                    self.machines.insert(machine, m);
+                }
+            }
+        }
+    }
+
+    /// Takes in a whole machine list that was asked for at `asked`.
+    pub fn listed(&mut self, list: &[ListedMachine], asked: Moment, now: Moment) {
+        self.fleet.listed = true;
+        self.fleet.last_list = Some(now);
+        for l in list {
+            if self.fleet.is_gone(&l.name) {
+                continue;
+            }
+            let total = self.fleet.room_of(&l.type_name);
+            let started = self.started;
+            let held = Micros::from_secs_f64(l.held_s.0);
+            // As of the list it was held that long. If that reaches back beyond the oldest moment
+            // that the list may describe, it existed then; else it exists now, as far as is known.
+            let described = Moment(asked.0.saturating_sub(self.config.list_lag.scaled(2.0).0));
+            let existed = if held >= now - described {
+                described
+            } else {
+                now
+            };
+            let existed = match self.old_records.get(&l.name) {
+                Some(recorded) => existed.min(*recorded),
+                None => existed,
+            };
+            let m = self.machines.entry(l.name.clone()).or_insert_with(|| {
+                let mut m = crate::workers::Machine::new(
+                    &l.name,
+                    &l.type_name,
+                    &l.zone,
+                    l.spot,
+                    total,
+                    now,
+                );
+                m.lease_from = started;
+                m.known_since = Moment(now.0.saturating_sub(held.0));
+                m
+            });
+            m.exists_since = Some(m.exists_since.map_or(existed, |t| t.min(existed)));
+            m.list_status = Some(l.status);
+            m.last_listed = Some(now);
+            if l.status == ListStatus::Failed && !m.lost {
+                // It stopped by itself, and everything on it with it.
+                log::info!("machine {}: failed", l.name);
+                m.lost = true;
+                m.session_over = true;
+                m.returning = true;
+                self.end_session(&l.name);
+            }
+        }
+        self.note_unlisted(list, asked);
+        self.forget_vanished(now);
+        self.release_seen(now);
+    }
+
+    /// Machines that a list should name and doesn't are gone, and what was on them too.
+    ///
+    /// Once listed, a machine stays listed until it is gone, and a list is never older than twice
+    /// its lag. So a machine that existed that long (and a margin) before the list was asked for,
+    /// and is not in it, no longer exists. Two lists in a row must agree.
+    fn note_unlisted(&mut self, list: &[ListedMachine], asked: Moment) {
+        let oldest = self.config.list_lag.scaled(2.0) + Micros::from_secs(3);
+        let named: std::collections::HashSet<&str> = list.iter().map(|l| l.name.as_str()).collect();
+        let mut gone = Vec::new();
+        // Each once: a machine may be known and unseen.
+        let names: BTreeSet<&String> = self
+            .machines
+            .keys()
+            .chain(self.unseen.iter())
+            .filter(|n| !named.contains(n.as_str()))
+            .collect();
+        for name in names {
+            let existed = match self.machines.get(name) {
+                Some(m) => m.exists_since,
+                None => self.old_records.get(name).copied(),
+            };
+            if existed.is_some_and(|t| t + oldest < asked) {
+                if self.fleet.unlisted.contains(name) {
+                    gone.push(name.clone());
+                } else {
+                    self.fleet.unlisted.insert(name.clone());
+                }
+            }
+        }
+        self.fleet.unlisted.retain(|n| !named.contains(n.as_str()));
+        for name in &gone {
+            log::info!("machine {name}: gone from the list");
+            self.fleet.unlisted.remove(name);
+            self.unseen.remove(name);
+        }
+        self.returned(&gone);
+    }
+
+    /// Machines whose lease is over and that lists stopped naming long ago are gone.
+    fn forget_vanished(&mut self, now: Moment) {
+        let lag = self.config.list_lag.scaled(3.0) + Micros::from_secs(10);
+        let gone: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| m.lost || m.last_report.is_none())
+            .filter(|m| now - m.last_listed.unwrap_or(m.known_since) > lag)
+            .filter(|m| now - m.lease_from >= self.lease_span())
+            .map(|m| m.name.clone())
+            .collect();
+        for name in gone {
+            self.drop_machine(&name);
+        }
+    }
+
+    fn drop_machine(&mut self, name: &str) {
+        self.end_session(name);
+        self.machines.remove(name);
+        self.fleet.roster.remove(name);
+        self.old_records.remove(name);
+    }
+
+    /// The cloud said that these machines, and everything on them, are gone.
+    pub fn returned(&mut self, names: &[String]) {
+        for name in names {
+            self.drop_machine(name);
+            self.fleet.gone.insert(name.clone());
+        }
+        // Names come in the order of creation: the first ones are the oldest.
+        while self.fleet.gone.len() > self.config.remembered {
+            self.fleet.gone.pop_first();
+        }
+    }
+}
--- a/src/fleet/reserve.rs
+++ b/src/fleet/reserve.rs
@@ -1,6 +1,6 @@
 //! Room kept ready for work that can't wait for a machine to boot.
 
-use super::{Fleet, LATE_BOOT, MAX_HIRE, MachineType, Offer};
+use super::{Fleet, LATE_BOOT, MAX_RENTAL, MachineType, Offer};
 use crate::cluster::Cluster;
 use crate::jobs::Job;
 use crate::settings::Objective;
@@ -101,7 +101,7 @@
     /// Standing jobs that may not use spot machines.
     fn on_demand_services(&self) -> impl Iterator<Item = &Job> {
         let jobs = self.jobs.table.values();
-        jobs.filter(|j| j.spec.standing && !j.spec.spot && !j.is_called_off())
+        jobs.filter(|j| j.spec.standing && !j.spec.spot && !j.is_closed())
     }
 
     /// CPUs to keep for replicas that are yet to come, which can't wait for a boot; None if none are
@@ -159,6 +159,6 @@
         let offer = self.fleet.cheapest(false, now, |_, price| price)?;
         let room = self.fleet.catalog[offer.type_index].room.cpu.max(1);
         let count = (missing + room - 1) / room;
-        Some((offer, count.min(i64::from(MAX_HIRE)) as u32))
+        Some((offer, count.min(i64::from(MAX_RENTAL)) as u32))
     }
 }
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -50,12 +50,15 @@
     format!("{JOBS_PREFIX}{id}")
 }
 
+/// The key prefix of done sets and final states.
+pub const DONE_PREFIX: &str = "done/";
+
 pub fn done_key(id: &str, chunk: u32) -> String {
-    format!("done/{id}/{chunk}")
+    format!("{DONE_PREFIX}{id}/{chunk}")
 }
 
 /// There while the leader holds as many jobs as its memory allows; it vanishes with the leader's
-/// hold. Every acceptance guards its absence, so that no node accepts what no leader could hold.
+/// lease. Every acceptance guards its absence, so that no node accepts what no leader could hold.
 pub const FULL_KEY: &str = "full";
 
 /// What a job takes beside its name and its tasks, at least; measured: 1.3 KB.
@@ -188,7 +191,7 @@
 
     /// Tasks that could start now, if there were a place.
     pub fn ready(&self) -> u32 {
-        if self.is_called_off() {
+        if self.is_closed() {
             return 0;
         }
         self.unbound() - self.held()
@@ -215,7 +218,7 @@
     }
 
     /// It is cancelled, is asked to be, or is done: nothing of it may go on.
-    pub fn is_called_off(&self) -> bool {
+    pub fn is_closed(&self) -> bool {
         self.cancel_asked || self.outcome.is_some()
     }
 
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -286,7 +286,7 @@
                     {
                         job.claimed = *below;
                         let waiting = self.awaiting_claim.remove(&id);
-                        self.poked.extend(waiting.into_iter().flatten());
+                        self.direct_due.extend(waiting.into_iter().flatten());
                     }
                 }
             }
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -1,10 +1,6 @@
 //! The loop that takes and keeps the lead.
 
 use super::{LEADER_KEY, Lead, LeaderRecord, Take, lease_until, take};
-use crate::cluster::Cluster;
-use crate::fleet::FLEET_PREFIX;
-use crate::jobs::DoneRecord;
-use crate::jobs::rounds::CLAIMS_PREFIX;
 use crate::jobs::spec::Submission;
 use crate::node::Node;
 use crate::os::pause;
@@ -17,7 +13,7 @@
 const HINT_KEY: &str = "hint";
 
 impl Node {
-    fn pause(&self, low_ms: u64, high_ms: u64) {
+    pub(super) fn pause(&self, low_ms: u64, high_ms: u64) {
         pause(&*self.os, low_ms, high_ms);
     }
 
@@ -79,7 +75,7 @@
             && r.node == self.settings.node
         {
             // An earlier process of this node: it is dead, so its lease may end now.
-            log::info!("ending the hold of an earlier process");
+            log::info!("ending the lease of an earlier process");
             if self.store.end_lease(r.lease).is_err() {
                 self.pause(100, 300);
             }
@@ -175,7 +171,7 @@
     }
 
     /// Renews once if it is time; false when the lead is lost.
-    fn renew_if_due(&self, lease: u64, renewed: &mut Moment) -> bool {
+    pub(super) fn renew_if_due(&self, lease: u64, renewed: &mut Moment) -> bool {
         let life = self.lease_life;
         let sent = self.now();
         if sent - *renewed < life.scaled(0.25) {
@@ -193,7 +189,7 @@
             Err(e) => {
                 // An outage, or a refusal of this node alone: nobody can tell which. The node
                 // stops acting when the lease could have run out, and goes on if it did not.
-                log::debug!("hold not renewed: {e}");
+                log::debug!("lease not renewed: {e}");
                 self.pause(150, 300);
                 true
             }
@@ -217,92 +213,6 @@
         }
     }
 
-    /// Reads what the state service holds; None when the lead was lost meanwhile.
-    fn load(&self, lead: &Lead, started: Moment, renewed: &mut Moment) -> Option<Cluster> {
-        let seed = fastrand::u64(..);
-        let mut cluster = Cluster::new(self.cluster_config(), lead.term, started, seed);
-        if let Some(catalog) = self.catalog() {
-            cluster.fleet.catalog = catalog.to_vec();
-        }
-        let skew = Micros::from_secs_f64(self.settings.settings.skew_ms / 500.0);
-        let mut jobs_revision = None;
-        cluster.wall_at_start = self.os.wall();
-        cluster.older_led_at = lead.older_led_at;
-        // Roster and claims first: they tell what of a job may have started.
-        for prefix in [FLEET_PREFIX, CLAIMS_PREFIX, "jobs/", "done/"] {
-            let mut since: Option<String> = None;
-            loop {
-                if !self.renew_if_due(lead.lease, renewed) {
-                    return None;
-                }
-                let page = match self
-                    .store
-                    .range(prefix, since.as_deref(), PAGE, Urgency::Lead)
-                {
-                    Ok(page) => page,
-                    Err(e) => {
-                        log::debug!("reading {prefix}: {e}");
-                        self.pause(100, 300);
-                        continue;
-                    }
-                };
-                if prefix == "jobs/" {
-                    jobs_revision.get_or_insert(page.revision);
-                }
-                let (now, wall) = (self.now(), self.os.wall());
-                for row in &page.rows {
-                    since = Some(row.key.clone());
-                    let rest = &row.key[prefix.len()..];
-                    if prefix == "jobs/" {
-                        let Some(s) = from_value::<Submission>(&row.data) else {
-                            log::error!("malformed record {}", row.key);
-                            continue;
-                        };
-                        cluster.add_job(&s, row.revision, now, wall);
-                    } else if prefix == CLAIMS_PREFIX {
-                        match (rest.parse(), from_value(&row.data)) {
-                            (Ok(n), Some(entries)) => cluster.claims.load(n, row.revision, entries),
-                            _ => {
-                                log::error!("malformed record {}", row.key);
-                                cluster.claims_lost = true;
-                            }
-                        }
-                    } else if prefix == FLEET_PREFIX {
-                        match (rest.parse(), from_value::<Vec<(String, u64)>>(&row.data)) {
-                            (Ok(n), Some(entries)) => {
-                                for (name, at) in &entries {
-                                    let age = wall.0.saturating_sub(*at).saturating_sub(skew.0);
-                                    let since = Moment(now.0.saturating_sub(age));
-                                    cluster.note_unseen(name, since);
-                                }
-                                cluster.fleet.roster.load(n, row.revision, entries);
-                            }
-                            _ => {
-                                // Whatever it named may hold any task of any job.
-                                log::error!("malformed record {}", row.key);
-                                cluster.note_unseen(&row.key, now);
-                                cluster.claims_lost = true;
-                            }
-                        }
-                    } else if let Some((id, chunk)) = rest.split_once('/')
-                        && let Ok(chunk) = chunk.parse()
-                    {
-                        match from_value::<DoneRecord>(&row.data) {
-                            Some(record) => cluster.load_done(id, chunk, &record, row.revision),
-                            None => log::error!("malformed record {}", row.key),
-                        }
-                    }
-                }
-                if !page.more {
-                    break;
-                }
-            }
-        }
-        cluster.drop_stale_claims();
-        self.core().jobs_revision = jobs_revision.unwrap_or(lead.revision);
-        Some(cluster)
-    }
-
     /// Watches for jobs that other nodes accept.
     pub fn jobs_loop(&self) {
         loop {
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -4,6 +4,7 @@
 pub mod level;
 pub mod peer;
 pub mod rollback;
+mod takeover;
 pub mod term;
 
 use crate::os::Os;
--- a/src/node.rs
+++ b/src/node.rs
@@ -112,7 +112,7 @@
     /// Signalled when records are due and when they were written.
     pub changed: Arc<dyn Signal>,
     /// Signalled when orders may go straight to workers.
-    pub poked: Arc<dyn Signal>,
+    pub direct_due: Arc<dyn Signal>,
     pub workers: WorkerClients,
     pub peers: BTreeMap<String, PeerClient>,
     pub submit_tokens: Mutex<TokenBucket>,
@@ -154,7 +154,7 @@
                 ..Core::default()
             }),
             changed: os.signal(),
-            poked: os.signal(),
+            direct_due: os.signal(),
             workers: WorkerClients::default(),
             peers,
             submit_tokens: Mutex::new(TokenBucket::new(submit, submit.max(4.0), now)),
--- /dev/null
+++ b/src/placement/usage.rs
@@ -0,0 +1,99 @@
+//! What machines have left, and what teams use of their limits.
+
+use super::Room;
+use crate::cluster::Cluster;
+use crate::jobs::JobId;
+use crate::workers::{DesiredState, Machine};
+
+impl Cluster {
+    /// What is left on a machine beside everything that may be on it.
+    pub fn free_room(&self, m: &Machine) -> Room {
+        self.rooms(m).0
+    }
+
+    /// What is left on a machine, and what will be free there once what is being stopped is gone.
+    pub(super) fn rooms(&self, m: &Machine) -> (Room, Room) {
+        let rooms = m.rooms.get().unwrap_or_else(|| self.count_rooms(m));
+        m.rooms.set(Some(rooms));
+        rooms
+    }
+
+    fn count_rooms(&self, m: &Machine) -> (Room, Room) {
+        if m.orphans.iter().any(|g| !g.exited) {
+            // Nobody knows what a job without a record takes.
+            return (Room::default(), Room::default());
+        }
+        let (mut free, mut stopping) = (m.total, Room::default());
+        let mut last: Option<(JobId, Room)> = None;
+        for (key, attempt) in m.attempts.iter().filter(|(_, a)| a.holds()) {
+            let need = match last {
+                Some((id, need)) if id == key.0 => need,
+                _ => match self.jobs.table.get(&key.0) {
+                    Some(job) => job.spec.need,
+                    None => continue,
+                },
+            };
+            last = Some((key.0, need));
+            free = free.minus(need);
+            if attempt.desired != DesiredState::Run {
+                stopping = stopping.plus(need);
+            }
+        }
+        (free, stopping)
+    }
+
+    /// What each team's tasks take, counting what unseen machines may still run: whatever may be
+    /// there, but no more than they can hold, since a worker refuses what doesn't fit.
+    pub(super) fn team_use(&self) -> Vec<Room> {
+        let mut used = vec![Room::default(); self.config.teams.len()];
+        let mut unseen = used.clone();
+        for job in self.jobs.table.values() {
+            let Some(team) = job.team else { continue };
+            let need = job.spec.need;
+            used[team] = used[team].plus(need.by(i64::from(job.bound_attempts())));
+            if job.held_below > 0 {
+                unseen[team] = unseen[team].plus(need.by(i64::from(job.maybe_unseen())));
+            }
+        }
+        let most = self.unseen_room();
+        let with_unseen = |(used, unseen): (&Room, Room)| {
+            used.plus(most.map_or(unseen, |most| unseen.at_most(most)))
+        };
+        used.iter().zip(unseen).map(with_unseen).collect()
+    }
+
+    /// What all unseen machines together have; None if nobody knows.
+    fn unseen_room(&self) -> Option<Room> {
+        if self.claims_lost {
+            return None;
+        }
+        let types = self.fleet.catalog.iter().map(|t| t.room);
+        let largest = types.reduce(|a, b| Room {
+            cpu: a.cpu.max(b.cpu),
+            gpu: a.gpu.max(b.gpu),
+            ram: a.ram.max(b.ram),
+        })?;
+        let room = |name: &String| match self.machines.get(name) {
+            Some(m) if m.total.cpu > 0 => m.total,
+            _ => largest,
+        };
+        let all = self.unseen.iter().map(room);
+        Some(all.fold(Room::default(), Room::plus))
+    }
+
+    /// What each team may still add. Memory isn't limited.
+    pub fn team_room(&self) -> Vec<Room> {
+        self.team_room_beside(&self.team_use())
+    }
+
+    pub(super) fn team_room_beside(&self, used: &[Room]) -> Vec<Room> {
+        used.iter()
+            .zip(&self.config.teams)
+            .map(|(used, t)| {
+                let mut room = Room::have(t.cpus_max, t.gpus_max, 0.0).minus(*used);
+                room.ram = i64::MAX / 4;
+                room
+            })
+            .collect()
+    }
+}
--- a/src/state_store/mod.rs
+++ b/src/state_store/mod.rs
@@ -23,7 +23,7 @@
     /// May have been executed, or may yet be: read back before deciding anything from it.
     #[error("state service gave no answer: {0}")]
     Unknown(String),
-    #[error("the hold has ended")]
+    #[error("the lease has ended")]
     NoLease,
     /// A watch that is too old.
     #[error("the watch is too old")]
@@ -352,10 +352,10 @@
         }
     }
 
-    pub fn changes(&self, prefix: &str, since: u64, hold: Micros) -> Result<Changes, StoreError> {
-        let hold_ms = hold.0 / 1000;
+    pub fn changes(&self, prefix: &str, since: u64, wait: Micros) -> Result<Changes, StoreError> {
+        let hold_ms = wait.0 / 1000;
         let path = format!("/changes?starts={prefix}&since={since}&holdMs={hold_ms}");
-        let timeout = hold.duration() + Duration::from_secs(2);
+        let timeout = wait.duration() + Duration::from_secs(2);
         let (status, body) = self.call("GET", &path, &[], Urgency::Normal, timeout)?;
         match status {
             200 => Self::parse(&body),
--- a/src/workers/direct.rs
+++ b/src/workers/direct.rs
@@ -1,7 +1,8 @@
 //! Orders that go straight to a worker's address: which may, and what their answers prove.
 
+use super::orders::MAX_ORDERS;
 use super::wire::{Order, Report, TaskStatus, Verb};
-use super::{Attempt, AttemptKey, Direct, MAX_ORDERS, PROBE_WAIT, Wanted};
+use super::{Attempt, AttemptKey, DesiredState, Direct};
 use crate::cluster::Cluster;
 use crate::time::{Micros, Moment};
 
@@ -44,7 +45,7 @@
         if self.behind || self.calls.iter().filter(prompt).count() >= CALLS_AT_ONCE {
             return None;
         }
-        while let Some(name) = self.poked.pop_first() {
+        while let Some(name) = self.direct_due.pop_first() {
             if let Some(call) = self.direct_call(&name, now) {
                 self.calls.push(call.began);
                 return Some(call);
@@ -64,12 +65,11 @@
         }
         // Stops go to whoever answers; starts only where the lease is known to last.
         let starts_here = machine.is_alive(report, now);
-        if let Some(doubt) = &mut machine.doubt {
-            if doubt.probe_at > now {
+        if let Some(suspicion) = &mut machine.suspicion {
+            if !suspicion.may_probe(now) {
                 return None;
             }
-            doubt.probe_at = now + doubt.wait;
-            doubt.wait = Micros((doubt.wait.0 * 2).min(8 * PROBE_WAIT.0));
+            suspicion.note_probe(now);
             machine.calling = true;
             return Some(DirectCall {
                 machine: name.to_string(),
@@ -91,27 +91,27 @@
             let Some(job) = self.jobs.table.get(&key.0) else {
                 continue;
             };
-            let verb = match (attempt.status, attempt.wanted) {
-                (None, Wanted::Run)
+            let verb = match (attempt.status, attempt.desired) {
+                (None, DesiredState::Run)
                     if key.1 < job.claimed
                         && machine.recorded
                         && starts_here
                         && attempt.sent.is_none()
                         && attempt.direct == Direct::Settled
-                        && !job.is_called_off() =>
+                        && !job.is_closed() =>
                 {
                     Verb::Run
                 }
-                (Some(status), Wanted::Stop { .. })
+                (Some(status), DesiredState::Stop { .. })
                     if status != TaskStatus::Exited && attempt.stop_sent.is_none() =>
                 {
                     Verb::Stop
                 }
                 _ => continue,
             };
-            let leeway_s = match attempt.wanted {
-                Wanted::Stop { leeway } => Some(leeway.as_secs_f64()),
-                Wanted::Run => None,
+            let leeway_s = match attempt.desired {
+                DesiredState::Stop { leeway } => Some(leeway.as_secs_f64()),
+                DesiredState::Run => None,
             };
             orders.push(Order {
                 verb,
@@ -194,7 +194,7 @@
                     && r.session == call.session
                     && r.session == machine.session =>
             {
-                self.dirty |= machine.doubt.take().is_some();
+                self.dirty |= machine.suspicion.take().is_some();
                 machine.answered_from = machine.answered_from.max(Some(call.began));
             }
             _ => {}
@@ -219,7 +219,7 @@
         } else if answered && !call.probe {
             // What was decided meanwhile waits for the next call. Without an answer it waits for
             // a heartbeat: a machine that refuses connections would be called without end.
-            self.poked.insert(call.machine.clone());
+            self.direct_due.insert(call.machine.clone());
         }
     }
 }
--- a/src/workers/edge.rs
+++ b/src/workers/edge.rs
@@ -17,7 +17,7 @@
 
 /// A worker that answers no sooner is told by its next heartbeat.
 const DIRECT_TIME: Duration = Duration::from_millis(1500);
-/// Many machines may be in doubt at once: asking them mustn't hold up orders for the others.
+/// Many machines may be suspected at once: asking them mustn't hold up orders for the others.
 const PROBE_TIME: Duration = Duration::from_millis(500);
 const MAX_KNOCKS: usize = 64;
 /// Longer than a watch on the leader takes.
@@ -133,8 +133,8 @@
         if std::mem::take(&mut cluster.urgent_rounds) {
             self.changed.notify_all();
         }
-        if !cluster.poked.is_empty() {
-            self.poked.notify_one();
+        if !cluster.direct_due.is_empty() {
+            self.direct_due.notify_one();
         }
     }
 
@@ -149,15 +149,18 @@
                     .and_then(|(_, cluster)| cluster.next_direct(now));
                 match call {
                     Some(call) => {
-                        if core.acting(now).is_some_and(|(_, c)| !c.poked.is_empty()) {
-                            self.poked.notify_one();
+                        if core
+                            .acting(now)
+                            .is_some_and(|(_, c)| !c.direct_due.is_empty())
+                        {
+                            self.direct_due.notify_one();
                         }
                         call
                     }
                     None => {
-                        let ticket = self.poked.ticket();
+                        let ticket = self.direct_due.ticket();
                         drop(core);
-                        self.poked.wait(ticket, Duration::from_secs(60));
+                        self.direct_due.wait(ticket, Duration::from_secs(60));
                         continue;
                     }
                 }
--- /dev/null
+++ b/src/workers/orders.rs
@@ -0,0 +1,108 @@
+//! The orders for one machine: the difference between what is wanted and what it reports.
+
+use super::wire::{Order, TaskStatus, Verb};
+use super::{DesiredState, Direct};
+use crate::cluster::Cluster;
+use crate::time::{Micros, Moment};
+
+/// At most this many orders go into one answer: it must stay below 64 KiB.
+pub(super) const MAX_ORDERS: usize = 300;
+
+impl Cluster {
+    /// The orders for one machine: the difference between wanted and reported.
+    pub(super) fn orders(&mut self, name: &str, now: Moment) -> Vec<Order> {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return Vec::new();
+        };
+        let mut orders = Vec::new();
+        for orphan in &machine.orphans {
+            orders.push(Order {
+                verb: if orphan.exited {
+                    Verb::Clear
+                } else {
+                    Verb::Stop
+                },
+                piece: orphan.piece.clone(),
+                attempt: orphan.attempt,
+                leeway_s: (!orphan.exited).then_some(0.0),
+            });
+        }
+        machine.rooms.set(None);
+        // Answers that may not arrive carry no starts.
+        let is_suspected = machine.suspicion.is_some();
+        let here = (machine.session, machine.tick);
+        let mut starts = Vec::new();
+        let mut dropped = Vec::new();
+        for (key, attempt) in &mut machine.attempts {
+            let Some(job) = self.jobs.table.get(&key.0) else {
+                continue;
+            };
+            let order = |verb, leeway_s| Order {
+                verb,
+                piece: format!("{}/{}", job.spec.id, key.1),
+                attempt: key.2,
+                leeway_s,
+            };
+            match (attempt.status, attempt.desired) {
+                // The worker's memory is the second copy of an outcome until it is recorded.
+                (Some(TaskStatus::Exited), _) if attempt.direct != Direct::Settled => {}
+                (Some(TaskStatus::Exited), _)
+                    if !attempt.done || job.recorded.contains(key.1) || job.outcome.is_some() =>
+                {
+                    orders.push(order(Verb::Clear, None));
+                }
+                (Some(TaskStatus::Exited), _) => {}
+                (Some(TaskStatus::Flushing), DesiredState::Stop { leeway }) => {
+                    let overdue = attempt
+                        .stop_sent
+                        .is_some_and(|t| now - t > leeway + Micros::from_secs(5));
+                    if leeway == Micros::ZERO || overdue {
+                        orders.push(order(Verb::Stop, Some(0.0)));
+                    }
+                }
+                (Some(_), DesiredState::Stop { leeway }) => {
+                    attempt.stop_sent.get_or_insert(now);
+                    orders.push(order(Verb::Stop, Some(leeway.as_secs_f64())));
+                }
+                (None, DesiredState::Run) => {
+                    if job.is_closed() {
+                        if attempt.sent.is_none() && attempt.direct == Direct::Settled {
+                            dropped.push(*key);
+                        } else {
+                            attempt.desired = DesiredState::Stop {
+                                leeway: Micros::ZERO,
+                            };
+                        }
+                        continue;
+                    }
+                    if is_suspected && attempt.sent.is_none() && attempt.direct == Direct::Settled {
+                        // It was never sent: it can start elsewhere.
+                        dropped.push(*key);
+                        continue;
+                    }
+                    if key.1 >= job.claimed || !machine.recorded {
+                        continue;
+                    }
+                    attempt.sent = Some(here);
+                    starts.push(order(Verb::Run, None));
+                }
+                (None, DesiredState::Stop { .. })
+                    if attempt.sent.is_none() && attempt.direct == Direct::Settled =>
+                {
+                    dropped.push(*key);
+                }
+                _ => {}
+            }
+        }
+        for key in dropped {
+            machine.attempts.remove(&key);
+            if let Some(job) = self.jobs.table.get_mut(&key.0) {
+                job.unbind(key.1);
+                self.dirty = true;
+            }
+        }
+        orders.extend(starts);
+        orders.truncate(MAX_ORDERS);
+        orders
+    }
+}
--- /dev/null
+++ b/src/workers/sessions.rs
@@ -0,0 +1,61 @@
+//! Worker sessions: they end with their lease, and everything on the machine with them.
+
+use crate::cluster::Cluster;
+use crate::time::Moment;
+
+impl Cluster {
+    /// A suspected machine is asked directly; one whose session lasts is heard and hears.
+    pub(super) fn review_suspicion(&mut self, name: &str, now: Moment) {
+        let span = self.lease_span();
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        let Some(suspicion) = machine.suspicion else {
+            return;
+        };
+        if suspicion.is_refuted(span, now) {
+            machine.suspicion = None;
+            self.dirty = true;
+        } else if suspicion.may_probe(now) {
+            self.direct_due.insert(name.to_string());
+        }
+    }
+
+    /// Everything the machine had in its session is gone.
+    pub fn end_session(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        machine.rooms.set(None);
+        machine.orphans.clear();
+        for (key, attempt) in std::mem::take(&mut machine.attempts) {
+            if attempt.holds()
+                && let Some(job) = self.jobs.table.get_mut(&key.0)
+            {
+                job.unbind(key.1);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Sessions end when nobody can have renewed their lease for its full time.
+    pub fn expire_leases(&mut self, now: Moment) {
+        let span = self.lease_span();
+        let expired: Vec<String> = self
+            .machines
+            .values()
+            .filter(|m| !m.lost && m.last_report.is_some() && now - m.lease_from >= span)
+            .map(|m| m.name.clone())
+            .collect();
+        for name in expired {
+            if let Some(machine) = self.machines.get_mut(&name) {
+                log::info!("machine {name}: lease over");
+                machine.lost = true;
+                machine.session_over = true;
+                machine.idle_since = None;
+            }
+            self.end_session(&name);
+        }
+        self.release_seen(now);
+    }
+}
--- a/tests/common/trace.rs
+++ b/tests/common/trace.rs
@@ -340,10 +340,10 @@
 
     pub fn rentals(&mut self) -> &mut Self {
         self.cluster.plan_rentals(self.now);
-        let hires: Vec<String> = self
+        let rental_requests: Vec<String> = self
             .cluster
             .fleet
-            .hires
+            .rental_requests
             .iter()
             .map(|h| {
                 format!(
@@ -352,7 +352,7 @@
                 )
             })
             .collect();
-        self.note(&format!("rentals wanted: [{}]", hires.join("; ")));
+        self.note(&format!("rentals wanted: [{}]", rental_requests.join("; ")));
         self
     }
 
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -7,7 +7,7 @@
 //! as much work on as many more machines.
 
 use aspenreel::cluster::{Cluster, ClusterConfig};
-use aspenreel::fleet::HireResult;
+use aspenreel::fleet::RentalResult;
 use aspenreel::fleet::wire::{Catalog, MachineList};
 use aspenreel::http::cbor::{decode, encode};
 use aspenreel::jobs::rounds::affordable;
@@ -311,7 +311,7 @@
     fn fleet(&mut self) {
         let now = self.now();
         self.cluster.plan_rentals(now);
-        for hire in self.cluster.fleet.hires.clone() {
+        for hire in self.cluster.fleet.rental_requests.clone() {
             let left = self.limit.saturating_sub(self.workers.len() as u64);
             let count = u64::from(hire.count).min(left);
             let names: Vec<String> = (0..count)
@@ -335,10 +335,10 @@
                 self.workers.insert(name.clone(), worker);
             }
             let result = match names.is_empty() {
-                true => HireResult::NoCapacity,
-                false => HireResult::Rented(names),
+                true => RentalResult::NoCapacity,
+                false => RentalResult::Rented(names),
             };
-            self.cluster.hired(&hire.name, result, now);
+            self.cluster.rental_answered(&hire.name, result, now);
         }
         let names = self.cluster.plan_returns(now);
         for name in &names {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -3,7 +3,7 @@
 #[path = "common/trace.rs"]
 mod trace;
 
-use aspenreel::fleet::HireResult;
+use aspenreel::fleet::RentalResult;
 use aspenreel::jobs::rounds::{WriteKind, affordable};
 use aspenreel::jobs::spec::{Rank, Shape, Submission};
 use aspenreel::settings::Objective;
@@ -136,7 +136,7 @@
 /// time for a boot, idle machines would cost money for nothing.
 #[test]
 fn room_is_kept_where_no_boot_fits_the_aim() {
-    let hires = |within_s: f64| {
+    let rental_requests = |within_s: f64| {
         let mut w = World::new(2, one_team());
         w.cluster.config.reserve = 4.0;
         w.cluster.config.objectives = vec![Objective {
@@ -149,10 +149,10 @@
         w.heartbeat("big-east-1", &[])
             .list(&[("big-east-1", "running")]);
         w.cluster.plan_rentals(at(2.0));
-        w.cluster.fleet.hires.len()
+        w.cluster.fleet.rental_requests.len()
     };
     // The soonest machine boots in 20 s, and some take half as long again.
-    assert_eq!((hires(29.0), hires(31.0)), (1, 0));
+    assert_eq!((rental_requests(29.0), rental_requests(31.0)), (1, 0));
 }
 
 /// A lagging list may still name machines that were taken before a takeover. That they existed long
@@ -188,9 +188,10 @@
     w.job(submission("run-1", |s| s.pieces = 1));
     w.cluster.fleet.listed = true;
     w.cluster.plan_rentals(at(1.0));
-    let hires = w.cluster.fleet.hires.clone();
-    let rented = HireResult::Rented(vec!["small-east-7".to_string()]);
-    w.cluster.hired(&hires[0].name, rented, at(1.0));
+    let rental_requests = w.cluster.fleet.rental_requests.clone();
+    let rented = RentalResult::Rented(vec!["small-east-7".to_string()]);
+    w.cluster
+        .rental_answered(&rental_requests[0].name, rented, at(1.0));
     let due = |w: &World| format!("roster pages due: {}", w.cluster.due_roster(true).len());
     let before = due(&w);
     w.note(&before);
@@ -440,9 +441,9 @@
     }));
     w.rentals();
     w.at(1.0).list(&[]).rentals();
-    w.cluster.hired(
+    w.cluster.rental_answered(
         "r-4-1",
-        HireResult::Rented(vec!["small-west-7".into()]),
+        RentalResult::Rented(vec!["small-west-7".into()]),
         at(2.0),
     );
     w.at(2.0).rentals();
@@ -452,9 +453,11 @@
         s.loaners = false;
     }));
     w.rentals();
-    w.cluster.hired("r-4-2", HireResult::Unknown, at(4.0));
+    w.cluster
+        .rental_answered("r-4-2", RentalResult::Unknown, at(4.0));
     w.at(4.0).rentals();
-    w.cluster.hired("r-4-2", HireResult::NoCapacity, at(5.0));
+    w.cluster
+        .rental_answered("r-4-2", RentalResult::NoCapacity, at(5.0));
     w.at(5.0).rentals();
     assert_snapshot!(w.log);
 }
@@ -874,9 +877,9 @@
     let first = submission("run-1", |s| s.pieces = 1);
     w.at(1.0).list(&[]).job(first.clone()).job(first.clone());
     w.rentals();
-    let rented = || HireResult::Rented(vec!["big-east-7".into()]);
-    w.cluster.hired("r-4-1", rented(), at(2.0));
-    w.cluster.hired("r-4-1", rented(), at(2.0));
+    let rented = || RentalResult::Rented(vec!["big-east-7".into()]);
+    w.cluster.rental_answered("r-4-1", rented(), at(2.0));
+    w.cluster.rental_answered("r-4-1", rented(), at(2.0));
     w.at(2.0).rentals();
     w.at(9.0).heartbeat("big-east-7", &[]);
     w.at(10.0).heartbeat("big-east-7", &["run-1/0#4.1 running"]);
@@ -898,7 +901,7 @@
     w.cluster.returned(&["big-east-7".into()]);
     w.cluster.returned(&["big-east-7".into()]);
     // A repeated rental that the cloud answers late names a machine that is gone.
-    w.cluster.hired("r-4-1", rented(), at(12.0));
+    w.cluster.rental_answered("r-4-1", rented(), at(12.0));
     w.at(12.0).bound();
     assert_snapshot!(w.log);
 }
@@ -1230,7 +1233,7 @@
     }];
     w.at(3.0).rentals();
     w.cluster
-        .hired("r-2-1", HireResult::Rented(Vec::new()), at(3.0));
+        .rental_answered("r-2-1", RentalResult::Rented(Vec::new()), at(3.0));
     w.note("two other machines are up");
     let reports = |w: &mut World| {
         for name in ["small-east-8", "small-east-9"] {
