Silent machines with replicas are returned early: the answer proves that the replicas are gone

Of the proofs that the protocol gives, the return's answer is the one that the leader can bring about. Ruled out: room (kept) and images (2 s). A cut machine's replicas count as served until their lease ends, so a return costs a restart there.

Three reports that didn't come; not where a third of the machines is silent, the leader is new, or the process falls behind. Machines without replicas are waited for as before.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -367,6 +367,11 @@
         }
     }
 
+    /// True if the process fell behind within that time.
+    pub(crate) fn fell_behind_since(&self, now: Moment, span: Micros) -> bool {
+        self.behind || (self.behind_at > Moment(0) && now - self.behind_at < span)
+    }
+
     /// True when most machines fell silent together: rather this node is cut off than they are.
     ///
     /// The state service may still serve a leader that no worker reaches; it would keep its lease
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -1256,6 +1256,89 @@
     assert_snapshot!(w.log);
 }
 
+/// A machine with replicas that falls silent is returned after three reports that didn't come: the answer
+/// proves that the replicas are gone, and they run elsewhere long before the lease is over. Machines with
+/// arrays alone are waited for; and where more than a third is silent, all are.
+#[test]
+fn silent_machines_with_replicas_are_returned() {
+    let mut w = World::new(2, one_team());
+    let names = [
+        "big-east-1",
+        "big-east-2",
+        "big-east-3",
+        "big-east-4",
+        "big-east-5",
+        "big-east-6",
+    ];
+    let all_but = |w: &mut World, silent: &[&str]| {
+        for name in names.iter().filter(|name| !silent.contains(name)) {
+            let tasks: Vec<String> = w.cluster.machines.get(*name).map_or(Vec::new(), |m| {
+                let held = m.attempts.keys();
+                let text = |k: &(_, u32, u64)| {
+                    let job = &w.cluster.jobs.table[&k.0].spec.id;
+                    format!("{job}/{}#2.{} running", k.1, k.2 & 0xffff_ffff)
+                };
+                held.map(text).collect()
+            });
+            let tasks: Vec<&str> = tasks.iter().map(String::as_str).collect();
+            w.heartbeat(name, &tasks);
+        }
+    };
+    all_but(&mut w, &[]);
+    w.job(submission("run-1", |s| {
+        s.shape = Shape::Standing;
+        s.pieces = 1;
+    }));
+    w.job(submission("run-2", |s| s.pieces = 12));
+    w.tick(1.0).bound();
+    let holds = |w: &World, job: &str| -> Vec<String> {
+        let id = w.cluster.jobs.find(job).unwrap();
+        let machines = w.cluster.machines.values();
+        let holding = machines.filter(|m| m.attempts.keys().any(|k| k.0 == id));
+        holding.map(|m| m.name.clone()).collect()
+    };
+    let replica_on = holds(&w, "run-1");
+    let array_only = holds(&w, "run-2").into_iter().find(|m| *m != replica_on[0]);
+    let silent = [replica_on[0].as_str(), array_only.as_deref().unwrap()];
+    for k in 1..8 {
+        w.at(3.0 * f64::from(k));
+        all_but(&mut w, &[]);
+    }
+    let mut returned_at = Vec::new();
+    for k in 0..5 {
+        let now = 24.0 + 3.0 * f64::from(k);
+        w.at(now);
+        all_but(&mut w, &silent);
+        let due = w.cluster.plan_returns(at(now + 1.0));
+        assert!(!due.contains(&silent[1].to_string()), "{due:?}");
+        if due.contains(&replica_on[0]) {
+            returned_at.push(now + 1.0);
+        }
+    }
+    // Silent since 21 s.
+    assert_eq!(returned_at, [31.0, 34.0, 37.0]);
+    w.cluster.returned(&replica_on);
+    w.tick(38.0);
+    assert_eq!(holds(&w, "run-1").len(), 1, "it runs elsewhere");
+
+    // Half are silent at once: it is rather this node that is cut off.
+    let again_on = holds(&w, "run-1");
+    let known = |name: &&&str| w.cluster.machines.contains_key(**name);
+    let mut others = names.iter().filter(known).filter(|n| **n != again_on[0]);
+    let half = [
+        again_on[0].as_str(),
+        others.next().unwrap(),
+        others.next().unwrap(),
+    ];
+    for k in 0..5 {
+        let now = 39.0 + 3.0 * f64::from(k);
+        w.at(now);
+        all_but(&mut w, &half);
+        let due = w.cluster.plan_returns(at(now + 1.0));
+        assert!(!due.contains(&again_on[0]), "{due:?}");
+    }
+}
+
 /// A task that needs a whole machine stops nothing where it would not get one: what is stopped in vain
 /// starts again in the room that it left, and was stopped again, thousands of times in a row.
 #[test]
