--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -108,6 +108,10 @@
         self.type_of(type_name).map(|t| t.room).unwrap_or_default()
     }
 
+    fn boot_of(&self, type_name: &str) -> Option<Micros> {
+        self.type_of(type_name).map(|t| t.boot)
+    }
+
     pub fn cache_of(&self, type_name: &str) -> f64 {
         self.type_of(type_name).map_or(0.0, |t| t.cache_gb)
     }
--- a/src/fleet/returns.rs
+++ b/src/fleet/returns.rs
@@ -4,8 +4,25 @@
 use crate::cluster::Cluster;
 use crate::time::{Micros, Moment};
 use crate::workers::Machine;
-use std::collections::HashMap;
 
+/// Why a machine goes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReturnReason {
+    Idle,
+    /// It was rented and never came up.
+    NeverUp,
+    /// It is listed as running, and never reported.
+    NeverReported,
+    /// Its lease ran out long ago.
+    Silent,
+    Faulty,
+    Recalled,
+    /// Answers and orders don't reach it.
+    Unreached,
+}
+
+/// An idle ordinary machine goes back after this part of the time that a spot machine has.
+const ON_DEMAND_IDLE: f64 = 0.25;
 /// A machine is silent after so many times the time between reports.
 const SILENT_REPORTS: f64 = 3.0;
 /// More than one machine in so many is silent: the fault is rather on this side.
@@ -26,58 +43,27 @@
 
     /// Chooses machines to return, and names those whose return is due now.
     pub fn plan_returns(&mut self, now: Moment) -> Vec<String> {
-        // Ordinary machines cost several times as much, so they go back sooner.
-        let (spot_idle, on_demand_idle) = (self.config.idle, self.config.idle.scaled(0.25));
-        let idle_time_of = |spot| if spot { spot_idle } else { on_demand_idle };
-        let lease = self.lease_span();
-        let boots: HashMap<String, Micros> = self
-            .fleet
-            .catalog
-            .iter()
-            .map(|t| (t.name.clone(), t.boot))
-            .collect();
-        let mut spare = self.spare_cpu();
+        let mut spare_cpu = self.spare_cpu();
         let mut replica_room = self.replica_room(now).unwrap_or(i64::MAX);
-        let started = self.started;
-        for m in self.machines.values_mut() {
-            if m.returning {
-                continue;
-            }
-            let mut idle =
-                m.idle_since.is_some_and(|t| now - t > idle_time_of(m.spot)) && !m.busy();
-            if idle && (spare < m.total.cpu || (!m.spot && replica_room < m.total.cpu)) {
-                idle = false;
-            } else if idle {
-                spare -= m.total.cpu;
+        let mut chosen = Vec::new();
+        for m in self.machines.values().filter(|m| !m.returning) {
+            let reason = self.defect(m, now).or_else(|| {
+                // What is kept ready stays, also while it is idle.
+                let kept = spare_cpu < m.total.cpu || (!m.spot && replica_room < m.total.cpu);
+                (self.is_idle(m, now) && !kept).then_some(ReturnReason::Idle)
+            });
+            let Some(reason) = reason else { continue };
+            if reason == ReturnReason::Idle {
+                spare_cpu -= m.total.cpu;
                 if !m.spot {
                     replica_room -= m.total.cpu;
                 }
             }
-            let boot = boots.get(&m.type_name).copied().unwrap_or(spot_idle);
-            // A new leader hears from machines one by one: whoever was not heard from since it
-            // took over is not thereby one that never came up.
-            let never_up = m.last_report.is_none()
-                && m.list_status != Some(ListStatus::Running)
-                && now - self.started > lease
-                && now - m.known_since > boot.scaled(4.0) + Micros::from_secs(10);
-            let mute = m.last_report.is_none()
-                && now - self.started.max(m.known_since) > lease.scaled(2.0) + boot.scaled(4.0);
-            let silent = m.lost && m.last_report.is_some_and(|t| now - t > lease.scaled(1.5));
-            // Its reports arrive, but it hears nothing, and not only for a while.
-            let unheard = m
-                .suspicion
-                .is_some_and(|s| now - s.since > lease.scaled(2.0))
-                || (m.last_report.is_some()
-                    && !m.counted_in
-                    && now - m.known_since.max(started) > lease.scaled(2.0));
-            let deaf = unheard && !m.busy();
-            // A recalled machine is charged to the end, and only its return proves it empty.
-            let faulty = (m.faulty || m.recalled) && !m.busy();
-            if (idle && m.counted_in) || never_up || mute || silent || faulty || deaf {
-                log::info!(
-                    "machine {}: to be returned (idle {idle}, never up {never_up}, silent {silent}, faulty {faulty}, deaf {deaf})",
-                    m.name
-                );
+            chosen.push((m.name.clone(), reason));
+        }
+        for (name, reason) in chosen {
+            log::info!("machine {name}: to be returned ({reason:?})");
+            if let Some(m) = self.machines.get_mut(&name) {
                 m.returning = true;
             }
         }
@@ -89,6 +75,56 @@
             .collect()
     }
 
+    /// It has had nothing to do for long enough. Ordinary machines cost several times as much, so they go
+    /// back sooner.
+    fn is_idle(&self, m: &Machine, now: Moment) -> bool {
+        let time = if m.spot {
+            self.config.idle
+        } else {
+            self.config.idle.scaled(ON_DEMAND_IDLE)
+        };
+        m.counted_in && !m.busy() && m.idle_since.is_some_and(|t| now - t > time)
+    }
+
+    /// Why a machine is of no use any more.
+    ///
+    /// A new leader hears from machines one by one: whoever was not heard from since it took over is not
+    /// thereby one that never came up.
+    fn defect(&self, m: &Machine, now: Moment) -> Option<ReturnReason> {
+        let lease = self.lease_span();
+        let boot = self.fleet.boot_of(&m.type_name).unwrap_or(self.config.idle);
+        let leading_for = now - self.started;
+        let known_for = now - m.known_since;
+        if m.last_report.is_none() {
+            let long_known = known_for > boot.scaled(4.0) + Micros::from_secs(10);
+            if m.list_status != Some(ListStatus::Running) && leading_for > lease && long_known {
+                return Some(ReturnReason::NeverUp);
+            }
+            let both = leading_for.min(known_for);
+            return (both > lease.scaled(2.0) + boot.scaled(4.0))
+                .then_some(ReturnReason::NeverReported);
+        }
+        if m.lost && m.last_report.is_some_and(|t| now - t > lease.scaled(1.5)) {
+            return Some(ReturnReason::Silent);
+        }
+        if m.busy() {
+            return None;
+        }
+        if m.faulty {
+            return Some(ReturnReason::Faulty);
+        }
+        // It is charged to the end, and only its return proves it empty.
+        if m.recalled {
+            return Some(ReturnReason::Recalled);
+        }
+        // Its reports arrive, but it hears nothing, and not only for a while.
+        let uncounted = !m.counted_in && leading_for.min(known_for) > lease.scaled(2.0);
+        let suspected = m
+            .suspicion
+            .is_some_and(|s| now - s.since > lease.scaled(2.0));
+        (uncounted || suspected).then_some(ReturnReason::Unreached)
+    }
+
     /// Machines with replicas that fell silent. One that hangs serves nobody, and its session ends only
     /// with its lease: the answer to its return proves sooner that the replicas are gone, so that they
     /// can start elsewhere. Machines without replicas may yet be back with all that they did.
