--- a/tests/model/main.rs
+++ b/tests/model/main.rs
@@ -8,8 +8,11 @@
 mod meetings;
 mod net;
 mod older;
+mod plans;
 mod sched;
+mod services;
 mod trouble;
+mod upgrades;
 mod users;
 mod world;
 
--- /dev/null
+++ b/tests/model/upgrades.rs
@@ -0,0 +1,194 @@
+//! Upgrades while serving: limits that are lowered, and controllers of the version in production.
+
+use crate::checker::{JobPlan, Question};
+use crate::keys::Limits;
+use crate::plans::*;
+use crate::services::standing_jobs;
+use crate::world::{Setup, World};
+use crate::{older, play};
+use aspenreel::http::cbor::json_len;
+use std::sync::Arc;
+
+/// What the state service takes once its limits are lowered.
+const LOWERED: Limits = Limits {
+    value_bytes: 2048,
+    txn_ops: 4,
+    rps: 100.0,
+    write_rps: 30.0,
+};
+
+/// The state service takes less from some moment on, without notice, just before or after the leader
+/// changes: values, changes in a transaction, requests and changes a second. There are hundreds of claims
+/// and a job of 100,000 tasks; nothing is beyond the limits, and all goes on.
+#[test]
+fn the_state_service_lowers_its_limits() {
+    let site = Setup {
+        next: "value_kb = 2.0, txn_ops = 4, rps = 100.0, write_rps = 30.0",
+        ..setup()
+    };
+    let ends = play(SEEDS, &site, |w, rng| {
+        standing_jobs(w, rng);
+        for i in 0..200 {
+            let mut plan = JobPlan::new(1000 + i, 1, 0.1, 30.0);
+            plan.rank = "low";
+            w.submit(10.0 + 0.15 * f64::from(i), plan);
+        }
+        let mut large = JobPlan::new(2000, 100_000, 0.1, 2.0);
+        large.rank = "low";
+        w.submit(30.0, large);
+        let lowered = 42.0 + rng.f64() * 16.0;
+        w.at(lowered, |w| w.state().keys.limits = Some(LOWERED));
+        let crash = lowered - 2.0 + rng.f64() * 4.0;
+        w.at(crash, |w| w.crash(w.leader_or_any(), 0.5));
+        w.at(110.0, |w| w.user_cancels("run-2000"));
+        w.at(125.0, |w| {
+            let state = w.state();
+            let keys = &state.keys;
+            assert_eq!(keys.refused, 0, "transactions beyond the limits");
+            let (over, all) = (keys.too_many, keys.counted);
+            assert!(over * 200 < all, "{over} of {all} requests too many");
+        });
+    });
+    for end in ends {
+        assert!(end.leaders >= 2, "{end:?}");
+    }
+}
+
+/// The limits are lowered while an earlier version may still lead, which writes larger pages: these are
+/// left as they are, and what changes on them is recorded all the same.
+#[test]
+fn pages_of_an_earlier_version_are_beyond_the_limits() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        w.at(0.0, |w| hide_statement(w, 2));
+        // Many that run for long, so that their claims stay, and one whose claim grows all the time.
+        let ids = jobs(w, 4.0, 20.0, 56, |i, p| {
+            p.id = format!("run-{:040}", 100 + i);
+            p.tasks = 1;
+            p.cpus = 0.4;
+            p.run_s = 80.0;
+        });
+        let mut growing = JobPlan::new(0, 3000, 1.0, 6.0);
+        growing.id = format!("run-{:040}", 500);
+        let growing_id = growing.id.clone();
+        w.submit(16.0, growing);
+        w.at(115.0, move |w| w.user_cancels(&growing_id));
+        cancel_each(w, &every_other(&ids, 7), 60.0, 80.0, rng);
+        let at = 24.0 + rng.f64() * 6.0;
+        w.at(at, |w| {
+            let leader = w.leader_or_any();
+            older::leads(w, leader, 2.0);
+            w.after(11_000_000, |w| {
+                let mut state = w.state();
+                let keys = &mut state.keys;
+                keys.limits = Some(LOWERED);
+                let pages = keys
+                    .rows
+                    .iter()
+                    .filter(|(key, _)| key.starts_with("claims/"));
+                let sizes: Vec<_> = pages.map(|(key, row)| (key, json_len(&row.0))).collect();
+                let is_large = |(_, size): &(_, usize)| *size > LOWERED.value_bytes;
+                assert!(
+                    sizes.iter().any(is_large),
+                    "no page is too large: {sizes:?}"
+                );
+            });
+        });
+        w.at(110.0, |w| assert_eq!(w.state().keys.refused, 0));
+    });
+    for end in ends {
+        assert!(end.starts > 450 && end.leaders >= 2, "{end:?}");
+    }
+}
+
+/// While a controller of the earlier version may come back, no standing job is accepted: users are told
+/// to come back at once. Once all know what it is, all accept it.
+#[test]
+fn standing_jobs_wait_for_all_controllers() {
+    play(SEEDS, &setup(), |w, rng| {
+        // One controller's statement can't be read: as if it were of the version before.
+        let old = rng.usize(0..3);
+        w.at(0.0, move |w| hide_statement(w, old));
+        let mut plan = JobPlan::new(1, 2, 1.0, 100_000.0);
+        plan.standing = true;
+        for k in 0..6 {
+            let plan = plan.clone();
+            w.at(6.0 + f64::from(k), move |w| {
+                w.state().checker.submitted(&plan);
+                w.insert_user(plan);
+                for n in 0..3 {
+                    w.question("run-1", Question::Submit, n, |w, told| {
+                        expect(w, told, 503, None);
+                    });
+                }
+            });
+        }
+        w.at(12.5, |w| w.state().hidden.clear());
+        w.at(20.0, move |w| w.user_submits(plan));
+        w.at(28.0, |w| {
+            assert!(w.state().checker.is_accepted("run-1"));
+            w.user_cancels("run-1");
+        });
+    });
+}
+
+fn hide_statement(w: &Arc<World>, n: usize) {
+    w.state().hidden = format!("members/n-{n}");
+}
+
+/// A controller of the version in production takes the lead while standing jobs are on record, as where
+/// an earlier landing accepted them before any fence. It drops their claims; the next leader must not take
+/// that for proof that no replica runs on a machine that it doesn't see.
+#[test]
+fn an_earlier_version_leads_while_standing_jobs_run() {
+    let ends = play(2 * SEEDS, &setup(), |w, rng| {
+        w.at(0.0, |w| {
+            w.write_record("level", &2u64);
+            // One has not stated the newest format: nobody is fenced off.
+            hide_statement(w, 2);
+        });
+        standing_jobs(w, rng);
+        let at = 34.0 + rng.f64() * 8.0;
+        let (of, span) = (rng.usize(2..4), 10.0 + rng.f64() * 5.0);
+        w.at(at, move |w| {
+            let some = share(w.machines_up(), of);
+            w.cut(&some, span, false);
+        });
+        let lead = 0.5 + rng.f64() * 3.0;
+        w.at(at + rng.f64(), move |w| {
+            let leader = w.leader_or_any();
+            w.crash(leader, 0.3);
+            older::leads(w, (leader + 1) % 3, lead);
+        });
+    });
+    let led = ends.iter().filter(|end| end.leaders >= 3).count();
+    assert!(
+        led > SEEDS as usize,
+        "it seldom led: {led} of {}",
+        ends.len()
+    );
+}
+
+/// Once all controllers know the newest format, one that comes back in the version of production never
+/// takes the lead, however often it is free; until then it may.
+#[test]
+fn an_earlier_version_cannot_lead_behind_the_fence() {
+    play(SEEDS, &setup(), |w, rng| {
+        let fenced = rng.bool();
+        if !fenced {
+            w.at(0.0, |w| hide_statement(w, 2));
+        }
+        let ids = jobs(w, 4.0, 60.0, 30, |_, _| ());
+        look_closely(w, &every_other(&ids, 3));
+        let before = 20.0 + rng.f64() * 10.0;
+        w.at(before, move |w| {
+            let leader = w.leader_or_any();
+            let terms = w.state().terms.len();
+            older::leads(w, leader, 3.0);
+            w.after(16_000_000, move |w| {
+                let state = w.state();
+                let older_led = state.terms[terms..].iter().any(|t| t.2 == leader);
+                assert_eq!(older_led, !fenced, "{:?}", state.terms);
+            });
+        });
+    });
+}
--- a/tests/service/side_by_side.rs
+++ b/tests/service/side_by_side.rs
@@ -362,3 +362,66 @@
     mixed.until_nothing_runs();
     mixed.nothing_broke();
 }
+
+/// The upgrade begins in an outage of the state service and stops half-way, while jobs are cancelled through
+/// controllers of either version; it goes on in another outage. What was told stays told at all nodes.
+#[test]
+fn a_roll_in_outages_stops_half_way() {
+    let Some(old) = production() else {
+        return;
+    };
+    let mut mixed = Mixed::start(old, "halfway");
+    for id in ["run-2", "run-3", "run-9"] {
+        mixed.endless(id);
+    }
+    mixed.submit(0, &job("run-2", 2, 2.0));
+    mixed.submit(1, &job("run-3", 2, 2.0));
+    mixed.nodes.until_status(2, "run-2", "running");
+    mixed.nodes.until_status(2, "run-3", "running");
+
+    *mixed.state.down.lock().unwrap() = true;
+    mixed.restart(0, Version::Newest);
+    assert_eq!(
+        mixed
+            .nodes
+            .call(0, "POST", "/work", &job("run-4", 2, 2.0))
+            .0,
+        503
+    );
+    mixed.state.recovers();
+
+    // Half-way: each version cancels, under a leader of the other one as well.
+    mixed.lead(1);
+    mixed.cancel(0, "run-2");
+    mixed.lead(0);
+    mixed.cancel(2, "run-3");
+    mixed.until_nothing_runs();
+    mixed.submit(2, &job("run-4", 2, 2.0));
+    mixed.nodes.until_status(1, "run-4", "done");
+    let told_everywhere = |nodes: &Nodes| {
+        for n in 0..3 {
+            nodes.until_status(n, "run-2", "cancelled");
+            nodes.until_status(n, "run-3", "cancelled");
+            nodes.until_status(n, "run-4", "done");
+        }
+    };
+    told_everywhere(&mixed.nodes);
+    assert_eq!(
+        mixed
+            .nodes
+            .call(0, "POST", "/work", &standing("run-9", 2))
+            .0,
+        503
+    );
+
+    *mixed.state.down.lock().unwrap() = true;
+    mixed.restart(1, Version::Newest);
+    mixed.restart(2, Version::Newest);
+    mixed.state.recovers();
+    mixed.submit(1, &standing("run-9", 2));
+    mixed.nodes.until_status(2, "run-9", "running");
+    told_everywhere(&mixed.nodes);
+    mixed.cancel(0, "run-9");
+    mixed.until_nothing_runs();
+    mixed.nothing_broke();
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -8,6 +8,7 @@
 use aspenreel::jobs::spec::{Shape, Submission};
 use aspenreel::jobs::{DoneRecord, FinalRecord, JobView, Outcome, ViewState};
 use aspenreel::leadership::LeaderRecord;
+use aspenreel::leadership::level::{FORMAT, Level};
 use aspenreel::leadership::peer::{PeerReply, PeerRequest};
 use aspenreel::leadership::term::TermRecord;
 use aspenreel::settings::{Settings, StateSettings};
@@ -196,6 +197,38 @@
     assert!(TermRecord::read(Some(&row(to_value(&"odd")))).is_err());
 }
 
+/// What an earlier landing (43046cd) writes beside what the version in production does: a standing job, and
+/// the format that it states and sets. Kept byte by byte as that version wrote them; read and written just so.
+#[test]
+fn kept_records_of_an_earlier_landing() {
+    let job = concat!(
+        "b5637265666a72756e2d303030343133646c616e6566706f7274616c646372657766766973696f6e6573686170",
+        "65687374616e64696e676472616e6b6a70726f64756374696f6e66706965636573036463707573f94000646770",
+        "7573f900006472616d4762fb400999999999999a6662756e646c6566696d672d303867696d6167654762f93c00",
+        "666275696c6473f66479617264f66973616d65506c616365f466737072656164f4676c6f616e657273f4676775",
+        "65737353f9000069626f6f6b6d61726b53f9000066737461736853f900006464756553f66a6163636570746564",
+        "55731b000644f0f7c53400"
+    );
+    let bytes: Vec<u8> = (0..job.len())
+        .step_by(2)
+        .map(|i| u8::from_str_radix(&job[i..i + 2], 16).unwrap())
+        .collect();
+    let kept: Submission = decode(&bytes).unwrap();
+    assert_eq!((kept.shape, kept.pieces), (Shape::Standing, 3));
+    assert!(kept.spec().standing && !kept.spec().spot);
+    assert_eq!(hex(&encode(&to_value(&kept))), job);
+
+    // 2: that version sets it without a fence, and accepts standing jobs from then on.
+    let level = |stored: &[u8]| Level {
+        format: decode(stored).unwrap(),
+        revision: 90,
+    };
+    assert!(level(&[0x02]).has_standing_jobs());
+    assert!(!level(&[0x01]).has_standing_jobs());
+    // It takes any number that isn't smaller than its own for "all know".
+    assert_eq!(encode(&to_value(&FORMAT)), [0x03]);
+}
+
 /// The stricter of the limits of now and later are obeyed, whichever that is, one by one.
 #[test]
 fn the_stricter_limits_hold() {
