--- a/tests/model/services.rs
+++ b/tests/model/services.rs
@@ -148,7 +148,7 @@
     }
 }
 
-/// A hundred services beside thousands of array tasks, on eighty machines, with two changes of leaders and
+/// Two hundred services beside thousands of array tasks, on eighty machines, with two changes of leaders and
 /// a wave of recalls: a new leader finds the replicas among them, and neither starves the other.
 #[test]
 fn services_among_thousands_of_tasks() {
@@ -159,11 +159,11 @@
         ..setup()
     };
     let ends = play(2, &site, |w, rng| {
-        jobs(w, 4.0, 40.0, 100, |i, p| {
+        jobs(w, 4.0, 40.0, 200, |i, p| {
             p.id = format!("run-{}", 3000 + i);
             p.standing = true;
             p.rank = "production";
-            p.cpus = 0.5;
+            p.cpus = 0.25;
             p.tasks = 2 + i % 3;
             p.run_s = 100_000.0;
         });
--- a/tests/model/upgrades.rs
+++ b/tests/model/upgrades.rs
@@ -19,7 +19,8 @@
 
 /// The state service takes less from some moment on, without notice, just before or after the leader
 /// changes: values, changes in a transaction, requests and changes a second. There are hundreds of claims
-/// and a job of 100,000 tasks; nothing is beyond the limits, and all goes on.
+/// and a job of 100,000 tasks, and in half of the days a controller is away; nothing is beyond the limits,
+/// and all goes on.
 #[test]
 fn the_state_service_lowers_its_limits() {
     let site = Setup {
@@ -40,6 +41,10 @@
         w.at(lowered, |w| w.state().keys.limits = Some(LOWERED));
         let crash = lowered - 2.0 + rng.f64() * 4.0;
         w.at(crash, |w| w.crash(w.leader_or_any(), 0.5));
+        if rng.bool() {
+            // What is left of the rates is shared by the others; the sum stays within the limit.
+            w.at(crash + 5.0, |w| w.crash((w.leader_or_any() + 1) % 3, 40.0));
+        }
         w.at(110.0, |w| w.user_cancels("run-2000"));
         w.at(125.0, |w| {
             let state = w.state();
