Tests' controllers get ports that no connection can take from them

With one test more that starts processes that became likelier. Ports now come from below the system's range for connections, each once a run. The checks of the tests are as they were.

--- a/tests/common/nodes.rs
+++ b/tests/common/nodes.rs
@@ -10,14 +10,29 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
-/// A free port; the listener is closed again just before the process takes it.
+/// Ports for controllers come from below the range from which the system takes those of connections: a port
+/// of that range could be taken by another test's connection before the controller listens on it, and then
+/// the controller would end, and its test wait for it in vain.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u16 = 10_000;
+
+/// A port that nobody else in this process gets, and that nobody listens on.
 fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    // Runs of other copies at the same time begin elsewhere.
+    let first = (std::process::id() % u32::from(PORTS)) as u16;
+    loop {
+        let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+        assert!(taken < PORTS, "no free port");
+        let port = FIRST_PORT + (first + taken) % PORTS;
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 pub struct Nodes {
