--- a/tests/service.rs
+++ b/tests/service.rs
@@ -83,6 +83,81 @@
     nodes.until_status(b, "run-5", "done");
 }
 
+/// A standing job that can never run, or lacks a field, is refused for good by every node and at any time,
+/// also before all controllers know standing jobs; one that fits is accepted.
+#[test]
+fn standing_jobs_that_cannot_run_are_refused() {
+    let (state, cloud, mut nodes) = serving("refused");
+    cloud.ground.endless.lock().unwrap().insert("run-1".into());
+    let service = |id: &str, pieces: u32, edit: &[(&str, Option<Value>)]| {
+        let wire = cbor!({
+            "ref" => id, "lane" => "portal", "crew" => "a", "shape" => "standing",
+            "rank" => "production", "pieces" => pieces, "cpus" => 4, "gpus" => 0, "ramGb" => 1.0,
+            "bundle" => "img", "imageGb" => 1.0, "samePlace" => false, "spread" => false,
+            "loaners" => true, "guessS" => 0, "bookmarkS" => 0, "stashS" => 0
+        });
+        let mut fields = wire.unwrap().into_map().unwrap();
+        for (name, value) in edit {
+            fields.retain(|(field, _)| field.as_text() != Some(name));
+            if let Some(value) = value {
+                fields.push((Value::Text(name.to_string()), value.clone()));
+            }
+        }
+        encode(&Value::Map(fields))
+    };
+    let refused = |nodes: &Nodes, n: usize| {
+        // The team may have 32 CPUs, a machine has 8.
+        let never = [
+            service("run-2", 9, &[]),
+            service("run-2", 1, &[("cpus", Some(Value::Float(9.0)))]),
+            service("run-2", 1, &[("crew", Some(Value::Text("nobody".into())))]),
+        ];
+        for body in never {
+            assert_eq!(nodes.call(n, "POST", "/work", &body).0, 422);
+        }
+        let text = |text: &str| Some(Value::Text(text.into()));
+        let malformed = [
+            ("shape", text("gang")),
+            ("shape", None),
+            ("pieces", text("many")),
+            ("pieces", Some(Value::Integer(0.into()))),
+            ("guessS", None),
+            ("loaners", text("yes")),
+            ("rank", text("urgent")),
+            ("bundle", None),
+        ];
+        for (field, value) in malformed {
+            let body = service("run-2", 1, &[(field, value)]);
+            let status = nodes.call(n, "POST", "/work", &body).0;
+            assert_eq!(status, 400, "{field}");
+        }
+        assert_eq!(nodes.call(n, "GET", "/work/run-2", &[]).0, 404);
+    };
+    for n in 0..3 {
+        refused(&nodes, n);
+    }
+    nodes.until(1, "POST", "/work", &service("run-1", 8, &[]), |s, _| {
+        s == 201 || s == 200
+    });
+    nodes.until_status(2, "run-1", "running");
+    // Also while nobody leads, and by a process that has just begun.
+    let old = leader(&state).unwrap();
+    nodes.children[old].kill().unwrap();
+    nodes.children[old].wait().unwrap();
+    refused(&nodes, (old + 1) % 3);
+    nodes.children[old] = spawn(&nodes.configs[old]);
+    nodes.until(old, "GET", "/up", &[], |s, _| s == 200);
+    refused(&nodes, old);
+    let repeat = service("run-1", 99, &[("shape", None)]);
+    for n in 0..3 {
+        nodes.until(n, "POST", "/work", &repeat, |s, a| {
+            assert!(matches!(s, 200 | 503), "{s}");
+            a.as_ref()
+                .is_some_and(|a| matches!(a.status.as_str(), "queued" | "running"))
+        });
+    }
+}
+
 /// Processes that are back at once, also in the middle of an election, and an outage on top: every
 /// accepted job is known at every node afterwards, runs to its end, and nothing runs twice.
 #[test]
