--- a/tests/service/side_by_side.rs
+++ b/tests/service/side_by_side.rs
@@ -265,6 +265,17 @@
     mixed.nodes.until_status(2, "run-1", "done");
     mixed.nodes.until_status(2, "run-9", "running");
     mixed.lead(0);
+    mixed.nodes.until_status(1, "run-9", "running");
+    let submit = |mixed: &Mixed, n, id| {
+        let (status, told) = mixed.nodes.call(n, "POST", "/work", &standing(id, 2));
+        (status, told.map(|t| t.status))
+    };
+    assert_eq!(submit(&mixed, 1, "run-9").0, 200, "known to whoever leads");
+    assert_eq!(
+        submit(&mixed, 1, "run-8").0,
+        400,
+        "a shape that it doesn't know"
+    );
     let term = stored_term(&mixed.state);
     *mixed.doors[0].refuses.lock().unwrap() = true;
     mixed.until_stored("the lead is not free", |state| leader(state).is_none());
@@ -273,6 +284,15 @@
         for _ in 0..40 {
             let (status, _) = mixed.nodes.call(n, "GET", "/work/run-9", &[]);
             assert!(matches!(status, 200 | 503), "{status}");
+            // Nobody can cancel it, and nobody tells that it is over or unknown.
+            let (status, _) = mixed.nodes.call(n, "POST", "/work/run-9/withdraw", &[]);
+            assert_eq!(status, 503);
+            let (status, told) = submit(&mixed, n, "run-9");
+            let queued = told.as_deref() == Some("queued");
+            assert!(
+                status == 503 || (status == 200 && queued),
+                "{status} {told:?}"
+            );
             assert_eq!(leader(&mixed.state), None);
             std::thread::sleep(Duration::from_millis(50));
         }
