--- a/tests/model/checker.rs
+++ b/crates/testbed/src/checker.rs
@@ -79,6 +79,7 @@
     accepted: Option<Time>,
     /// A final state, and when a user knew it.
     ended: Option<(String, Time)>,
+    first_asked: Option<Time>,
     cancel_asked: bool,
     done: BTreeSet<u32>,
     on: BTreeMap<u32, BTreeSet<Place>>,
@@ -97,6 +98,8 @@
     pub starts: u32,
     pub told_cancelled: u32,
     pub told_done: u32,
+    pub questions_in_vain: u32,
+    turnaround: Vec<Time>,
 }
 
 impl Checker {
@@ -118,6 +121,7 @@
             plan: plan.clone(),
             accepted: None,
             ended: None,
+            first_asked: None,
             cancel_asked: false,
             done: BTreeSet::new(),
             on: BTreeMap::new(),
@@ -134,6 +138,7 @@
 
     /// No answer in time, or one that tells nothing.
     pub fn in_vain(&mut self, id: &str, question: Question, sent: Time, now: Time) {
+        self.questions_in_vain += 1;
         let Some(f) = self.jobs.get_mut(id) else {
             return;
         };
@@ -162,6 +167,7 @@
             }
             return;
         };
+        f.first_asked.get_or_insert(told.sent);
         let mut rules = Vec::new();
         let known = f.accepted.is_some_and(|t| t <= told.sent);
         match (told.question, told.status) {
@@ -191,7 +197,11 @@
             if matches!(state.as_str(), "done" | "cancelled") {
                 if f.ended.is_none() {
                     match state.as_str() {
-                        "done" => self.told_done += 1,
+                        "done" => {
+                            self.told_done += 1;
+                            let asked = f.first_asked.unwrap_or(now);
+                            self.turnaround.push(now - asked);
+                        }
                         _ => self.told_cancelled += 1,
                     }
                     f.ended = Some((state.clone(), now));
@@ -208,6 +218,11 @@
         }
     }
 
+    /// From each job's first answered question until its user knew that it is done, in seconds.
+    pub fn turnaround_s(&self) -> Vec<f64> {
+        self.turnaround.iter().map(|t| *t as f64 / 1e6).collect()
+    }
+
     /// A task has its image and starts.
     pub fn starts(&mut self, id: &str, task: u32, place: &Place, now: Time) {
         self.starts += 1;
@@ -347,160 +362,3 @@
             .map_or(0, |f| f.on.values().map(BTreeSet::len).sum())
     }
 }
-
-/// Each rule has a case in which it fires.
-mod fires {
-    use super::*;
-
-    fn place(machine: &str, zone: &str) -> Place {
-        Place {
-            machine: machine.into(),
-            zone: zone.into(),
-            spot: true,
-        }
-    }
-
-    fn told(question: Question, sent: f64, got: f64, status: u16, state: &str) -> Told {
-        Told {
-            question,
-            node: 0,
-            sent: secs(sent),
-            got: secs(got),
-            status,
-            state: (!state.is_empty()).then(|| state.to_string()),
-        }
-    }
-
-    fn accepted(edit: impl Fn(&mut JobPlan)) -> Checker {
-        let mut c = Checker::new(&[("a", 8.0)], 40.0);
-        let mut plan = JobPlan::new(1, 2, 4.0, 10.0);
-        edit(&mut plan);
-        c.submitted(&plan);
-        c.told("run-1", &told(Question::Submit, 0.0, 1.0, 201, "queued"));
-        assert_eq!(c.broken, Vec::<String>::new());
-        c
-    }
-
-    fn rules(c: &Checker) -> Vec<&str> {
-        let word = |text: &String| -> usize { text.find(' ').unwrap() + 1 };
-        let rule = |t| -> &str { &t[word(t)..t.find(": ").unwrap()] };
-        c.broken.iter().map(|t: &String| rule(t)).collect()
-    }
-
-    #[test]
-    fn a_task_on_two_machines() {
-        let mut c = accepted(|_| ());
-        c.starts("run-1", 0, &place("m", "east"), secs(2.0));
-        c.leaves("run-1", 0, "m", false);
-        c.starts("run-1", 0, &place("n", "east"), secs(3.0));
-        assert_eq!(rules(&c), [""; 0]);
-        c.starts("run-1", 0, &place("m", "east"), secs(4.0));
-        assert_eq!(rules(&c), ["ran_twice"]);
-    }
-
-    #[test]
-    fn more_than_the_team_may_use() {
-        let mut c = accepted(|p| p.tasks = 3);
-        for task in 0..2 {
-            c.starts("run-1", task, &place("m", "east"), secs(2.0));
-        }
-        assert_eq!(rules(&c), [""; 0]);
-        c.starts("run-1", 2, &place("n", "east"), secs(3.0));
-        assert_eq!(rules(&c), ["quota"]);
-    }
-
-    #[test]
-    fn places_that_the_job_does_not_allow() {
-        let mut c = accepted(|p| p.zone = Some("west".into()));
-        c.starts("run-1", 0, &place("m", "east"), secs(2.0));
-        let mut spot = accepted(|p| p.spot = false);
-        spot.starts("run-1", 0, &place("m", "east"), secs(2.0));
-        let mut same = accepted(|p| p.one_zone = true);
-        same.starts("run-1", 0, &place("m", "east"), secs(2.0));
-        same.starts("run-1", 1, &place("n", "west"), secs(3.0));
-        let mut spread = accepted(|p| p.spread = true);
-        spread.starts("run-1", 0, &place("m", "east"), secs(2.0));
-        spread.starts("run-1", 1, &place("n", "east"), secs(3.0));
-        for c in [c, spot, same, spread] {
-            assert_eq!(rules(&c), ["wrong_place"]);
-        }
-    }
-
-    #[test]
-    fn tasks_of_a_cancelled_job() {
-        let mut c = accepted(|_| ());
-        c.starts("run-1", 0, &place("m", "east"), secs(2.0));
-        c.asks_cancel("run-1");
-        c.told("run-1", &told(Question::Cancel, 3.0, 4.0, 200, "cancelled"));
-        c.starts("run-1", 1, &place("m", "east"), secs(5.0));
-        c.look(secs(44.0));
-        assert_eq!((rules(&c), c.late_starts.len()), (vec![], 1));
-        c.leaves("run-1", 1, "m", false);
-        c.look(secs(44.1));
-        c.leaves("run-1", 0, "m", false);
-        c.look(secs(44.2));
-        c.starts("run-1", 1, &place("m", "east"), secs(45.0));
-        assert_eq!(rules(&c), ["ran_cancelled"; 2]);
-    }
-
-    #[test]
-    fn jobs_that_are_forgotten() {
-        let mut c = accepted(|_| ());
-        c.told("run-1", &told(Question::Status, 0.5, 2.0, 404, ""));
-        assert_eq!(
-            rules(&c),
-            [""; 0],
-            "it was asked before the job was accepted"
-        );
-        c.told("run-1", &told(Question::Status, 2.0, 2.1, 404, ""));
-        c.told("run-1", &told(Question::BadSubmit, 2.0, 2.1, 400, ""));
-        c.told("run-1", &told(Question::Submit, 2.0, 2.1, 422, ""));
-        c.told("run-1", &told(Question::Cancel, 2.0, 2.1, 404, ""));
-        assert_eq!(rules(&c), ["forgotten"; 4]);
-        let mut c = accepted(|_| ());
-        c.in_vain("run-1", Question::Status, secs(5.0), secs(7.0));
-        c.in_vain("run-1", Question::Status, secs(95.0), secs(96.0));
-        assert_eq!(rules(&c), ["forgotten"]);
-    }
-
-    #[test]
-    fn jobs_that_nobody_submitted() {
-        let mut c = accepted(|_| ());
-        c.told("run-2", &told(Question::Status, 2.0, 3.0, 404, ""));
-        assert_eq!(rules(&c), [""; 0]);
-        c.told("run-2", &told(Question::Status, 2.0, 3.0, 200, "queued"));
-        c.starts("run-2", 0, &place("m", "east"), secs(2.0));
-        assert_eq!(rules(&c), ["invented"; 2]);
-    }
-
-    #[test]
-    fn jobs_called_done_too_soon() {
-        let mut c = accepted(|_| ());
-        c.leaves("run-1", 0, "m", true);
-        c.told("run-1", &told(Question::Status, 2.0, 3.0, 200, "done"));
-        assert_eq!(rules(&c), ["not_done"]);
-    }
-
-    #[test]
-    fn answers_that_go_back() {
-        let done = || {
-            let mut c = accepted(|_| ());
-            c.leaves("run-1", 0, "m", true);
-            c.leaves("run-1", 1, "m", true);
-            c.told("run-1", &told(Question::Status, 2.0, 3.0, 200, "done"));
-            c
-        };
-        let mut c = done();
-        c.told("run-1", &told(Question::Status, 2.9, 3.1, 200, "running"));
-        assert_eq!(rules(&c), [""; 0], "it was asked before");
-        c.told("run-1", &told(Question::Status, 3.0, 3.1, 200, "running"));
-        assert_eq!(rules(&c), ["went_back"]);
-        let mut c = done();
-        c.asks_cancel("run-1");
-        c.told("run-1", &told(Question::Cancel, 2.9, 3.1, 200, "cancelled"));
-        assert_eq!(rules(&c), ["went_back"], "it ended in two ways");
-        let mut c = accepted(|_| ());
-        c.told("run-1", &told(Question::Status, 2.0, 3.0, 200, "cancelled"));
-        assert_eq!(rules(&c), ["went_back"], "nobody cancelled it");
-    }
-}
--- /dev/null
+++ b/crates/testbed/src/lib.rs
@@ -0,0 +1,23 @@
+//! What the tests of all crates share.
+//!
+//! - Stand-ins for the state service, the cloud and its workers: [`keys`] is the store itself,
+//!   [`servers`] speaks to real processes over loopback.
+//! - A model of whole clusters on simulated time: the production code of several controllers, with all of
+//!   its threads, in one process ([`world`], [`sched`], [`net`], [`machines`], [`users`]).
+//! - An independent checker of the protocol's rules ([`checker`]), which knows only what users were
+//!   told and what is on machines.
+
+pub mod checker;
+pub mod cuts;
+pub mod keys;
+pub mod log;
+pub mod machines;
+pub mod net;
+pub mod older;
+pub mod plans;
+pub mod play;
+pub mod sched;
+pub mod servers;
+pub mod trouble;
+pub mod users;
+pub mod world;
--- a/tests/model/machines.rs
+++ b/crates/testbed/src/machines.rs
@@ -1,6 +1,7 @@
 //! The cloud, its machines and their workers, as the protocol's page tells of them.
 
 use crate::checker::{JobPlan, Place};
+use crate::cuts::End;
 use crate::sched::{Time, secs};
 use crate::world::{LEASE_S, REPORT_S, State, World};
 use aspenreel::http::cbor::{Decimal, decode, encode};
@@ -310,6 +311,7 @@
         self.report_at(name, self.now() + PAUSE);
     }
 
+    /// Workers of that zone and the node reach each other, but for cuts of one direction.
     fn reaches(&self, n: usize, zone: &str) -> bool {
         let cut = self.state().nodes[n].workers_cut_until > self.now();
         !cut && self.joined(self.zone_of_node(n), zone)
@@ -328,7 +330,13 @@
             }
             m.zone.clone()
         };
-        self.reaches(n, &zone)
+        // A connection needs both directions.
+        let open = {
+            let state = self.state();
+            let ways = [(End::Node(n), End::Workers), (End::Workers, End::Node(n))];
+            !ways.iter().any(|(from, to)| state.is_cut(*from, *to, now))
+        };
+        open && self.reaches(n, &zone)
     }
 
     /// A node takes in a report. A frozen one does when it goes on.
@@ -359,7 +367,8 @@
 
     fn report_arrives(self: &Arc<Self>, n: usize, report: Report, flight: u64, sent: Time) {
         let zone = report.zone.clone();
-        if !self.reaches(n, &zone) {
+        let lost = self.state().is_cut(End::Workers, End::Node(n), self.now());
+        if lost || !self.reaches(n, &zone) {
             return;
         }
         let answer = match self.by_heartbeat(n, &report) {
@@ -387,6 +396,9 @@
             }
             None => {}
         }
+        if self.state().is_cut(End::Node(n), End::Workers, self.now()) {
+            return;
+        }
         let back = self.latency();
         let name = report.machine.clone();
         self.after(back, move |w| {
@@ -500,7 +512,8 @@
             let until = m.hung_until.max(m.cut_until);
             (m.zone.clone(), until, m.hung_until > now || m.holds)
         };
-        if !self.reaches(n, &zone) {
+        let lost = self.state().is_cut(End::Node(n), End::Workers, now);
+        if lost || !self.reaches(n, &zone) {
             return;
         }
         if until > now {
@@ -534,7 +547,8 @@
         let mut state = self.state();
         let report = state.machines.get_mut(&name).map(|m| m.report(now));
         drop(state);
-        if let Some(report) = report {
+        let lost = self.state().is_cut(End::Workers, End::Node(n), self.now());
+        if let Some(report) = report.filter(|_| !lost) {
             then(self, (200, encode(&report)));
         }
     }
@@ -551,6 +565,7 @@
                 users,
                 rng,
                 checker,
+                starts_by_term,
                 ..
             } = &mut *state;
             let Some(m) = machines.get_mut(name) else {
@@ -559,6 +574,7 @@
             let plan_of = |piece: &str| users.get(split(piece).0).map(|u| &u.plan);
             match o.verb {
                 Verb::Run if !m.tasks.contains_key(&key) => {
+                    starts_by_term.push((now, o.attempt >> 32));
                     changed = true;
                     let here = |(p, _): &(String, u64)| *p == o.piece;
                     let mut other = m.tasks.iter().filter(|(k, _)| here(k));
--- a/tests/model/net.rs
+++ b/crates/testbed/src/net.rs
@@ -1,5 +1,6 @@
 //! What a controller of the model takes for its operating system, and the ways between all of them.
 
+use crate::cuts::End;
 use crate::keys::Watch;
 use crate::sched::{Time, lock};
 use crate::world::World;
@@ -230,11 +231,14 @@
     /// A request of a node reaches the state service, or doesn't.
     fn state_asked(self: &Arc<Self>, n: usize, request: Request, to: Arc<Slot<(u16, Vec<u8>)>>) {
         let now = self.now();
-        let (cut_until, refused, slow) = {
+        let (cut_until, refused, slow, asks_in_vain, answers_in_vain) = {
             let state = self.state();
             let node = &state.nodes[n];
-            let refused = state.state_out || node.refused_until > now;
-            (node.state_cut_until, refused, state.state_slow)
+            let writes_refused = request.path == "/multi" && state.cuts.refuses_writes(n, now);
+            let refused = state.state_out || node.refused_until > now || writes_refused;
+            let there = state.is_cut(End::Node(n), End::State, now);
+            let back = state.is_cut(End::State, End::Node(n), now);
+            (node.state_cut_until, refused, state.state_slow, there, back)
         };
         let back = self.latency() + slow;
         if cut_until > now {
@@ -242,6 +246,15 @@
             let later = cut_until + self.latency();
             return self.at_time(later, move |w| drop(w.carry_out(&request)));
         }
+        if asks_in_vain {
+            return;
+        }
+        if answers_in_vain {
+            if !refused {
+                drop(self.carry_out(&request));
+            }
+            return;
+        }
         if refused {
             return to.arrive(self, back, (503, Vec::new()));
         }
@@ -293,7 +306,10 @@
             {
                 let mut state = self.state();
                 let node = &state.nodes[n];
-                let cut = node.state_cut_until > now;
+                let own = End::Node(n);
+                let one_way =
+                    state.is_cut(own, End::State, now) || state.is_cut(End::State, own, now);
+                let cut = node.state_cut_until > now || one_way;
                 let refused = state.state_out || node.refused_until > now;
                 if refused && first && !cut {
                     return Some((503, Vec::new()));
@@ -368,14 +384,16 @@
             let joined = world.joined(zones.0, zones.1);
             let state = world.state();
             let cut = |n: usize| state.nodes[n].peers_cut_until > now;
-            !joined || cut(self.from) || cut(self.to)
+            let ways = (End::Node(self.from), End::Node(self.to));
+            !joined || cut(self.from) || cut(self.to) || state.is_cut(ways.0, ways.1, now)
         };
         if cut {
             world.sched.sleep_until(now + timeout.as_micros() as Time);
             return Err(ErrorKind::TimedOut.into());
         }
         let slot = Slot::new(world);
-        let (to, answer, request) = (self.to, slot.clone(), request.clone());
+        let (from, to) = (self.from, self.to);
+        let (answer, request) = (slot.clone(), request.clone());
         let there = world.latency();
         world.after(there, move |w| {
             let (process, node) = {
@@ -391,7 +409,12 @@
             let work = move || {
                 let reply = node.answer_peer(request);
                 let back = world.latency();
-                answer.arrive(&world, back, Ok(reply));
+                let lost = world
+                    .state()
+                    .is_cut(End::Node(to), End::Node(from), world.now());
+                if !lost {
+                    answer.arrive(&world, back, Ok(reply));
+                }
             };
             w.sched.spawn(process, seed, Box::new(work));
         });
--- /dev/null
+++ b/crates/testbed/src/play.rs
@@ -0,0 +1,70 @@
+//! Plays a plan on many seeds at once.
+
+use crate::sched;
+use crate::world::{Setup, Summary, World};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Condvar, Mutex};
+
+/// Room to play one model: whatever tests run at once, no more than there are processors.
+struct Room;
+
+static PLAYED: Mutex<usize> = Mutex::new(0);
+static ROOM: Condvar = Condvar::new();
+
+impl Room {
+    fn wait() -> Room {
+        let most = std::thread::available_parallelism().map_or(2, |n| n.get());
+        let mut played = sched::lock(&PLAYED);
+        while *played >= most {
+            played = ROOM.wait(played).unwrap_or_else(|e| e.into_inner());
+        }
+        *played += 1;
+        Room
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        *sched::lock(&PLAYED) -= 1;
+        ROOM.notify_one();
+    }
+}
+
+/// Plays a model with each seed, or with the one that `MODEL_SEED` names, several at once, and
+/// returns how each ended. No rule may break in any.
+#[track_caller]
+pub fn play(
+    seeds: u64,
+    setup: &Setup,
+    plan: impl Fn(&std::sync::Arc<World>, &mut fastrand::Rng) + Sync,
+) -> Vec<Summary> {
+    let seeds: Vec<u64> = match std::env::var("MODEL_SEED") {
+        Ok(seed) => vec![seed.parse().unwrap()],
+        Err(_) => (1..=seeds).collect(),
+    };
+    let next = AtomicUsize::new(0);
+    let ends: Mutex<Vec<(u64, Summary)>> = Mutex::default();
+    std::thread::scope(|scope| {
+        let workers = std::thread::available_parallelism().map_or(2, |n| n.get());
+        for _ in 0..workers.min(seeds.len()) {
+            scope.spawn(|| {
+                while let Some(seed) = seeds.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let _room = Room::wait();
+                    let w = World::new(*seed, setup.clone());
+                    plan(&w, &mut fastrand::Rng::with_seed(*seed));
+                    let end = w.finish();
+                    println!("seed {seed}: {end:?}");
+                    sched::lock(&ends).push((*seed, end));
+                }
+            });
+        }
+    });
+    let mut ends = std::mem::take(&mut *sched::lock(&ends));
+    ends.sort_by_key(|(seed, _)| *seed);
+    let broken: Vec<String> = ends
+        .iter()
+        .flat_map(|(seed, end)| end.broken.iter().map(move |b| format!("seed {seed}: {b}")))
+        .collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+    ends.into_iter().map(|(_, end)| end).collect()
+}
--- a/tests/model/world.rs
+++ b/crates/testbed/src/world.rs
@@ -1,6 +1,7 @@
 //! Several controllers, and all that they talk to, in one process on simulated time.
 
 use crate::checker::{Checker, JobPlan};
+use crate::cuts::Cuts;
 use crate::keys::Keys;
 use crate::machines::{Cloud, Machine};
 use crate::net::SimOs;
@@ -39,6 +40,8 @@
     pub hold_ms: u64,
     /// Limits of the state service to come, as the settings tell them.
     pub next: &'static str,
+    /// Further flags of the controllers with these numbers.
+    pub flags: fn(usize) -> &'static [&'static str],
 }
 
 impl Default for Setup {
@@ -53,6 +56,7 @@
             write_rps: 60.0,
             hold_ms: 8000,
             next: "value_kb = 2.0, txn_ops = 4",
+            flags: |_| &[],
         }
     }
 }
@@ -100,6 +104,8 @@
     pub kept_reports: Vec<Report>,
     pub nodes: Vec<NodeState>,
     pub zone_cuts: BTreeMap<String, Time>,
+    /// Cuts of single directions.
+    pub cuts: Cuts,
     pub machines: BTreeMap<String, Machine>,
     pub cloud: Cloud,
     pub users: BTreeMap<String, UserJob>,
@@ -108,6 +114,8 @@
     pub processes: u64,
     /// Leaders so far, as the state service's records tell.
     pub terms: Vec<(Time, u64, usize)>,
+    /// When machines first saw orders to start, and the term that they were given in.
+    pub starts_by_term: Vec<(Time, u64)>,
     /// When the last trouble is over, as far as it was said.
     pub trouble_until: Time,
 }
@@ -135,6 +143,7 @@
                 kept_reports: Vec::new(),
                 nodes: (0..setup.nodes).map(|_| NodeState::default()).collect(),
                 zone_cuts: BTreeMap::new(),
+                cuts: Cuts::default(),
                 machines: BTreeMap::new(),
                 cloud: Cloud::default(),
                 users: BTreeMap::new(),
@@ -142,6 +151,7 @@
                 rng: fastrand::Rng::with_seed(seed),
                 processes: 0,
                 terms: Vec::new(),
+                starts_by_term: Vec::new(),
                 trouble_until: 0,
             }),
             setup,
@@ -256,7 +266,8 @@
             (state.processes, seed, drift, skew)
         };
         let hold = self.setup.hold_ms.to_string();
-        let words = ["aspenreel", "serve", "--config", "-", "--hold-ms", &hold];
+        let mut words = vec!["aspenreel", "serve", "--config", "-", "--hold-ms", &hold];
+        words.extend((self.setup.flags)(n));
         let Command::Serve(options) = Cli::parse_from(words).command else {
             unreachable!("the words say serve");
         };
@@ -512,6 +523,10 @@
             cancelled: state.checker.told_cancelled,
             done: state.checker.told_done,
             leaders: state.terms.len(),
+            terms: state.terms.clone(),
+            starts_by_term: state.starts_by_term.clone(),
+            questions_in_vain: state.checker.questions_in_vain,
+            turnaround_s: state.checker.turnaround_s(),
             seconds: self.now() / 1_000_000,
         };
         drop(state);
@@ -549,6 +564,14 @@
     pub cancelled: u32,
     pub done: u32,
     pub leaders: usize,
+    /// When each term began, its number and its leader.
+    pub terms: Vec<(Time, u64, usize)>,
+    /// When machines first saw orders to start, and the term that they were given in.
+    pub starts_by_term: Vec<(Time, u64)>,
+    /// Users' questions that got no answer in time, or none that tells anything.
+    pub questions_in_vain: u32,
+    /// From each accepted job's submission until its user knew that it is done.
+    pub turnaround_s: Vec<f64>,
     pub seconds: u64,
 }
 
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -13,6 +13,8 @@
 use crate::time::{Micros, Moment, WallTime, at_most};
 use crate::workers::wire::TaskStatus;
 use crate::workers::{DesiredState, Machine};
+use aspenreel_links::permissions::Permissions;
+use aspenreel_links::workers::Hearing;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What an operator and the platform set.
@@ -98,6 +100,8 @@
     behind_at: Moment,
     /// A job's final state waits for its record.
     pub urgent_rounds: bool,
+    /// Which decisions may be made now.
+    permissions: Permissions,
 }
 
 impl Cluster {
@@ -134,6 +138,7 @@
             behind: false,
             behind_at: Moment(0),
             urgent_rounds: false,
+            permissions: Permissions::ALL,
         }
     }
 
@@ -359,6 +364,19 @@
         self.jobs.weight() > if was { most / 10 * 9 } else { most }
     }
 
+    /// Which decisions may be made now. Every slice asks here before it decides what needs a record.
+    pub fn permissions(&self) -> Permissions {
+        self.permissions
+    }
+
+    /// Sets which decisions may be made from now on.
+    pub fn set_permissions(&mut self, permissions: Permissions) {
+        // What waited for the permission is looked at again.
+        self.dirty |= permissions.assign && !self.permissions.assign;
+        self.urgent_rounds |= permissions.record && !self.permissions.record;
+        self.permissions = permissions;
+    }
+
     /// Notes whether the process falls behind.
     pub fn note_pace(&mut self, behind: bool, now: Moment) {
         self.behind = behind;
@@ -379,10 +397,24 @@
     /// unread, and the next leader would have no more processor, and hundreds of workers coming
     /// over besides.
     pub fn unheard(&self, acting_since: Moment, now: Moment) -> bool {
-        let patience = self.config.report.scaled(1.5);
-        if now - acting_since.max(self.behind_at) < patience.scaled(2.0) {
-            return false;
-        }
+        now - acting_since >= self.silence().scaled(2.0)
+            && self.hearing_is_settled(now)
+            && self.hearing(now).is_blind()
+    }
+
+    /// After this long without a report a machine is silent.
+    fn silence(&self) -> Micros {
+        self.config.report.scaled(1.5)
+    }
+
+    /// This controller has led, and hasn't fallen behind, for long enough to tell who is silent.
+    pub fn hearing_is_settled(&self, now: Moment) -> bool {
+        now - self.started.max(self.behind_at) >= self.silence().scaled(2.0)
+    }
+
+    /// How many of the machines that should report do.
+    pub fn hearing(&self, now: Moment) -> Hearing {
+        let patience = self.silence();
         let silent_at = |m: &&Machine| m.last_report.is_none_or(|t| now - t > patience);
         let known: Vec<&Machine> = self
             .machines
@@ -391,7 +423,10 @@
             .filter(|m| m.last_report.is_some() || self.unseen.contains(&m.name))
             .collect();
         let silent = known.iter().filter(|m| silent_at(m)).count();
-        known.len() >= 3 && 2 * silent > known.len()
+        Hearing {
+            heard: (known.len() - silent) as u32,
+            known: known.len() as u32,
+        }
     }
 
     /// Learns from a finished task.
@@ -460,7 +495,7 @@
 
     /// The zone of most machines that are silent.
     pub fn silent_zone(&self, now: Moment) -> Option<String> {
-        let patience = self.config.report.scaled(1.5);
+        let patience = self.silence();
         let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
         for m in self.machines.values() {
             if m.last_report.is_none_or(|t| now - t > patience) {
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -71,6 +71,10 @@
                     self.await_change(core, Duration::from_millis(500));
                     continue;
                 };
+                if !cluster.permissions().record {
+                    self.await_change(core, Duration::from_millis(500));
+                    continue;
+                }
                 let guard = lead.guard();
                 let (term, lease) = (lead.term, lead.lease);
                 if fullness.term != term {
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -1,6 +1,6 @@
 //! The loop that takes and keeps the lead.
 
-use super::{LEADER_KEY, Lead, LeaderRecord, Take, lease_until, take};
+use super::{HINT_KEY, LEADER_KEY, Lead, LeaderRecord, Take, lease_until, take};
 use crate::jobs::spec::Submission;
 use crate::node::Node;
 use crate::os::pause;
@@ -9,11 +9,9 @@
 use std::time::Duration;
 
 const PAGE: usize = 100;
-/// The zone whose workers the last leader lost: a node there goes first.
-const HINT_KEY: &str = "hint";
 
 impl Node {
-    pub(super) fn pause(&self, low_ms: u64, high_ms: u64) {
+    pub(crate) fn pause(&self, low_ms: u64, high_ms: u64) {
         pause(&*self.os, low_ms, high_ms);
     }
 
@@ -57,13 +55,14 @@
             self.pause(1500, 2500);
             return matches!(self.store.get(LEADER_KEY, Urgency::Lead), Ok(None));
         }
-        let mut wait = 500 / (1 + knocks);
-        if knocks == 0
-            && let Ok(Some(row)) = self.store.get(HINT_KEY, Urgency::Lead)
-            && from_value::<String>(&row.data).as_ref() == Some(&self.settings.location)
-        {
-            wait = 50;
-        }
+        let in_silent_zone = knocks == 0
+            && matches!(self.store.get(HINT_KEY, Urgency::Lead), Ok(Some(row))
+                if from_value::<String>(&row.data).as_ref() == Some(&self.settings.location));
+        let wait = match self.candidate_wait(in_silent_zone) {
+            Some(wait) => wait.0 / 1000,
+            None if in_silent_zone => 50,
+            None => 500 / (1 + knocks),
+        };
         self.pause(wait, wait + 60);
         true
     }
@@ -89,6 +88,7 @@
                     record.as_ref().map_or("unknown", |r| r.node.as_str())
                 );
             }
+            core.newest_term = core.newest_term.max(record.as_ref().map_or(0, |r| r.term));
             core.known_leader = record;
             core.leader_seen = self.now();
         }
@@ -125,12 +125,20 @@
             core.lead = Some(lead.clone());
             core.cluster = None;
             core.step_down = false;
+            core.newest_term = lead.term;
+            core.handover = None;
+            core.handover_planner = None;
         }
+        let handover_planner = self.plan_handovers();
         let mut renewed = started;
         let mut cluster = self.load(&lead, started, &mut renewed);
         if let Some(cluster) = cluster.take() {
             log::info!("term {}: {} jobs read", lead.term, cluster.jobs.table.len());
-            self.core().cluster = Some(cluster);
+            {
+                let mut core = self.core();
+                core.cluster = Some(cluster);
+                core.handover_planner = handover_planner;
+            }
             self.changed.notify_all();
             self.keep(lease, &mut renewed);
         }
@@ -145,7 +153,10 @@
             }
             zone
         };
-        if let Some(zone) = silent_zone {
+        let handover = self.core().handover.take();
+        if let Some(record) = &handover {
+            self.hand_over(&lead, record, silent_zone.as_deref());
+        } else if let Some(zone) = silent_zone {
             let change = Change::write(HINT_KEY, to_value(&zone));
             let _ = self
                 .store
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -14,6 +14,8 @@
 use term::{TERM_KEY, TermRecord};
 
 pub const LEADER_KEY: &str = "leader";
+/// The zone whose workers the last leader lost: a node there goes first.
+pub const HINT_KEY: &str = "hint";
 
 /// The value of `leader`, attached to the leader's lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/leadership/peer.rs
+++ b/src/leadership/peer.rs
@@ -1,8 +1,10 @@
 //! What the controllers say to each other: borsh in length-prefixed frames over TCP.
 
 use crate::jobs::JobView;
+use crate::links::EvidenceSink;
 use crate::os::Os;
 use crate::time::{Micros, Moment};
+use aspenreel_links::evidence::{Failure, Link, Outcome};
 use borsh::{BorshDeserialize, BorshSerialize};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -23,6 +25,10 @@
     Ping,
     /// Accept a checked submission (its CBOR), for a node that can't write it.
     Accept { body: Vec<u8> },
+    /// The sender's view of its links, for the receiver's. Earlier versions close the connection.
+    Links { view: Vec<u8> },
+    /// What the node believes about its links, for an operator. Earlier versions close the connection.
+    LinkReport,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -38,6 +44,25 @@
     Busy,
     /// The submission is accepted, by this request.
     Accepted,
+    /// The node's view of its links.
+    Links {
+        view: Vec<u8>,
+    },
+    /// What the node believes about its links.
+    LinkReport {
+        report: Vec<u8>,
+    },
+}
+
+/// What came of asking a peer for its view.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Exchange {
+    /// Its view, as it was sent.
+    View(Vec<u8>),
+    /// It answers other questions, but not this one.
+    NotOffered,
+    /// It doesn't answer.
+    Failed,
 }
 
 pub fn write_frame<T: BorshSerialize>(stream: &mut TcpStream, message: &T) -> std::io::Result<()> {
@@ -71,6 +96,8 @@
     /// When it last let a status question run out of time.
     timed_out: Mutex<Option<Moment>>,
     left_alone: Micros,
+    /// Where it is noted what questions showed of the link.
+    evidence: Option<(Link, Arc<EvidenceSink>)>,
 }
 
 /// After a question that ran out of time a peer isn't asked for this long. It may be gone; or it has
@@ -89,6 +116,48 @@
             os,
             timed_out: Mutex::new(None),
             left_alone,
+            evidence: None,
+        }
+    }
+
+    /// The same client, which notes what its questions show of the link.
+    pub fn with_evidence(self, link: Link, evidence: Option<Arc<EvidenceSink>>) -> Self {
+        PeerClient {
+            evidence: evidence.map(|sink| (link, sink)),
+            ..self
+        }
+    }
+
+    fn note_evidence<T>(&self, result: &std::io::Result<T>) {
+        let Some((link, evidence)) = &self.evidence else {
+            return;
+        };
+        let outcome = match result {
+            Ok(_) => Outcome::Answered,
+            Err(e) if is_timeout(e) => Outcome::Failed(Failure::NoAnswer),
+            Err(_) => Outcome::Failed(Failure::Unreachable),
+        };
+        evidence.note(link.clone(), outcome, self.os.now());
+    }
+
+    /// Sends a view and asks for the peer's.
+    pub fn exchange_views(&self, view: Vec<u8>, timeout: Duration) -> Exchange {
+        let result = self.link.ask(&PeerRequest::Links { view }, timeout);
+        match result {
+            Ok(PeerReply::Links { view }) => {
+                self.note_evidence(&Ok(()));
+                Exchange::View(view)
+            }
+            Ok(_) => {
+                self.note_evidence(&Ok(()));
+                Exchange::NotOffered
+            }
+            // An earlier version closes the connection on a request that it doesn't know.
+            Err(e) if !is_timeout(&e) && self.answers(timeout) => Exchange::NotOffered,
+            Err(e) => {
+                self.note_evidence::<()>(&Err(e));
+                Exchange::Failed
+            }
         }
     }
 
@@ -100,11 +169,12 @@
             return Err(ErrorKind::TimedOut.into());
         }
         let result = self.link.ask(request, timeout);
+        self.note_evidence(&result);
         // Only what it answers from memory tells: the others wait for the state service, and a leader
         // that is slow for want of it still knows its jobs.
         if matches!(request, PeerRequest::Status { .. })
             && let Err(e) = &result
-            && matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
+            && is_timeout(e)
         {
             *timed_out() = Some(self.os.now());
         }
@@ -113,10 +183,16 @@
 
     /// True if the peer answers, whatever became of earlier questions.
     pub fn answers(&self, timeout: Duration) -> bool {
-        self.link.ask(&PeerRequest::Ping, timeout).is_ok()
+        let result = self.link.ask(&PeerRequest::Ping, timeout);
+        self.note_evidence(&result);
+        result.is_ok()
     }
 }
 
+fn is_timeout(error: &std::io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
+}
+
 /// One peer over TCP, with a few kept connections.
 #[derive(Debug)]
 pub struct TcpPeer {
@@ -132,7 +208,7 @@
         let since = Instant::now();
         if let Some(stream) = kept {
             match self.ask_on(stream, request, timeout) {
-                Err(e) if !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                Err(e) if !is_timeout(&e) => {
                     self.kept().clear();
                 }
                 result => return result,
--- /dev/null
+++ b/src/links/exchange.rs
@@ -0,0 +1,198 @@
+//! The thread that asks peers for their views and probes what is silent.
+
+use super::{Links, lock};
+use crate::leadership::peer::{Exchange, PeerReply};
+use crate::node::Node;
+use crate::state_store::{Change, Guard, Urgency, from_value, to_value};
+use crate::time::{Micros, Moment};
+use aspenreel_links::evidence::{Link, NodeName, Outcome};
+use aspenreel_links::monitor::LinkState;
+use aspenreel_links::view::{LinkView, ViewError};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const EVERY_MS: u64 = 800;
+const ASK_TIME: Duration = Duration::from_millis(500);
+/// A peer that doesn't exchange views is asked again after this: it may have been replaced.
+const NOT_OFFERED_AGAIN: Micros = Micros::from_secs(30);
+/// A link that was silent for this long is probed.
+const SILENCE: Micros = Micros::from_secs(4);
+/// A key that is never written: a transaction that only compares it costs no change.
+const PROBE_KEY: &str = "links-probe";
+/// Views that went through the state service, since their sender didn't reach the leader.
+const VIEWS_PREFIX: &str = "views/";
+/// A view is written there at most this often.
+const PUBLISH_EVERY: Micros = Micros::from_secs(2);
+const PAGE: usize = 100;
+
+/// A view in the state service.
+#[derive(Serialize, Deserialize)]
+struct StoredView {
+    /// The time of day when it was true, in microseconds.
+    at: u64,
+    view: LinkView,
+}
+
+/// What the thread remembers between its rounds.
+#[derive(Default)]
+struct ExchangeState {
+    /// Peers that don't exchange views, and when they were last asked.
+    not_offered: BTreeMap<NodeName, Moment>,
+    published_at: Option<Moment>,
+    /// A rejected view was told in the log.
+    told: bool,
+}
+
+impl Node {
+    /// Asks peers for their views, and probes what is silent.
+    pub fn link_exchange_loop(&self) {
+        let Some(links) = self.links.clone() else {
+            return;
+        };
+        let mut state = ExchangeState::default();
+        loop {
+            self.pause(EVERY_MS / 2, EVERY_MS);
+            self.probe_state(&links);
+            for peer in &links.peers {
+                self.ask_for_view(&links, peer, &mut state);
+            }
+            self.publish_view(&links, &mut state);
+            self.read_published_views(&links);
+        }
+    }
+
+    /// Probes reads and writes of the state service where nothing else shows how they are.
+    fn probe_state(&self, links: &Links) {
+        let now = self.now();
+        let wanted = |link| lock(&links.tracker).wants_probe(&link, SILENCE, now);
+        // What these calls prove is noted where all calls to the state service are made.
+        if wanted(Link::StateReads) {
+            let _ = self.store.get(PROBE_KEY, Urgency::Lazy);
+        }
+        if wanted(Link::StateWrites) {
+            let guard = Guard::new(PROBE_KEY, 0);
+            let _ = self.store.transact(&[guard], &[], Urgency::Lazy);
+        }
+    }
+
+    fn ask_for_view(&self, links: &Links, peer: &NodeName, state: &mut ExchangeState) {
+        let Some(client) = self.peers.get(&peer.0) else {
+            return;
+        };
+        let asked = self.now();
+        let refused_at = state.not_offered.get(peer);
+        if refused_at.is_some_and(|at| asked - *at < NOT_OFFERED_AGAIN) {
+            return;
+        }
+        let view = links.view_for(peer).encode();
+        match client.exchange_views(view, ASK_TIME) {
+            Exchange::View(bytes) => {
+                state.not_offered.remove(peer);
+                let result = lock(&links.views).take(peer, &bytes, asked);
+                tell_rejected(peer, result, &mut state.told);
+            }
+            Exchange::NotOffered => {
+                state.not_offered.insert(peer.clone(), asked);
+                lock(&links.views).not_offered(peer);
+            }
+            Exchange::Failed => {}
+        }
+    }
+
+    /// Leaves this controller's view in the state service while it hears workers that the leader
+    /// may not hear, and doesn't reach the leader.
+    fn publish_view(&self, links: &Links, state: &mut ExchangeState) {
+        let now = self.now();
+        let published = links.published();
+        let report = &published.report;
+        let Some(leader) = report.leader.as_ref().filter(|l| **l != links.own) else {
+            return;
+        };
+        let unreached = lock(&links.tracker).state(&Link::Peer(leader.clone())) == LinkState::Down;
+        let recent = state
+            .published_at
+            .is_some_and(|at| now - at < PUBLISH_EVERY);
+        if !unreached || recent || report.hearing.heard == 0 {
+            return;
+        }
+        state.published_at = Some(now);
+        let stored = StoredView {
+            at: self.os.wall().0,
+            view: links.view_for(leader),
+        };
+        let key = format!("{VIEWS_PREFIX}{}", links.own);
+        let change = Change::write(key, to_value(&stored));
+        let _ = self.store.transact(&[], &[change], Urgency::Lazy);
+    }
+
+    /// A leader that hears few workers looks for views of peers that it doesn't reach.
+    fn read_published_views(&self, links: &Links) {
+        let published = links.published();
+        let report = &published.report;
+        let unreached = |peer: &NodeName| {
+            lock(&links.tracker).state(&Link::Peer(peer.clone())) != LinkState::Up
+        };
+        if !report.leads || !report.hearing.is_blind() || !links.peers.iter().any(unreached) {
+            return;
+        }
+        let Ok(page) = self.store.range(VIEWS_PREFIX, None, PAGE, Urgency::Lazy) else {
+            return;
+        };
+        let (now, wall) = (self.now(), self.os.wall());
+        let skew = Micros::from_secs_f64(self.settings.settings.skew_ms / 500.0);
+        for row in &page.rows {
+            let Some(stored) = from_value::<StoredView>(&row.data) else {
+                continue;
+            };
+            let age = Micros(wall.0.saturating_sub(stored.at)) + skew;
+            let asked = Moment(now.0.saturating_sub(age.0));
+            let peer = stored.view.from.clone();
+            // One that is known already, or late, has no effect.
+            let _ = lock(&links.views).take(&peer, &stored.view.encode(), asked);
+        }
+    }
+
+    /// A peer sends its view and asks for ours.
+    pub fn answer_view(&self, bytes: &[u8]) -> PeerReply {
+        let Some(links) = &self.links else {
+            return PeerReply::Busy;
+        };
+        let Ok(view) = LinkView::decode(bytes) else {
+            lock(&links.views).reject();
+            return PeerReply::Busy;
+        };
+        if view.to != links.own || !links.peers.contains(&view.from) {
+            lock(&links.views).reject();
+            return PeerReply::Busy;
+        }
+        // It may have been under way for long: that it arrived is all that it proves.
+        let peer = Link::Peer(view.from.clone());
+        links.sink.note(peer, Outcome::Heard, self.now());
+        PeerReply::Links {
+            view: links.view_for(&view.from).encode(),
+        }
+    }
+
+    /// What an operator is told.
+    pub fn answer_link_report(&self) -> PeerReply {
+        match &self.links {
+            Some(links) => PeerReply::LinkReport {
+                report: links.published().report.encode(),
+            },
+            None => PeerReply::Busy,
+        }
+    }
+}
+
+/// The first rejected view is told in the log; all are counted.
+fn tell_rejected(peer: &NodeName, result: Result<(), ViewError>, told: &mut bool) {
+    match result {
+        Ok(()) | Err(ViewError::Late) => {}
+        Err(error) => {
+            if !std::mem::replace(told, true) {
+                log::warn!("the view of {peer} has no effect: {error}");
+            }
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
-use aspenreel::cli::{Cli, Command, RollbackOptions, ServeOptions};
+use aspenreel::cli::{Cli, Command, LinksOptions, RollbackOptions, ServeOptions};
 use aspenreel::leadership::rollback::allow_earlier_versions;
+use aspenreel::links::command::{ask_for_links, exit_code, links_json, links_table};
 use aspenreel::node::Node;
 use aspenreel::os::System;
 use aspenreel::settings::Settings;
@@ -7,11 +8,13 @@
 use clap::Parser;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 fn main() -> ExitCode {
     let result = match Cli::parse().command {
         Command::Serve(options) => serve(options),
         Command::AllowEarlierVersions(options) => roll_back(options),
+        Command::Links(options) => return show_links(&options),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -36,6 +39,22 @@
     node.run(system).map_err(|e| format!("cannot listen: {e}"))
 }
 
+fn show_links(options: &LinksOptions) -> ExitCode {
+    let settings = match Settings::load(&options.config) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("aspenreel: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    let answers = ask_for_links(&settings, Duration::from_millis(options.timeout_ms));
+    match options.json {
+        true => println!("{}", links_json(&answers)),
+        false => print!("{}", links_table(&answers)),
+    }
+    exit_code(&answers)
+}
+
 fn roll_back(options: RollbackOptions) -> Result<(), String> {
     let settings = Settings::load(&options.config).map_err(|e| e.to_string())?;
     let rate = settings.settings.state.strict().rps;
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,12 +8,15 @@
 use crate::leadership::level::Level;
 use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest, serve_peers};
 use crate::leadership::{Lead, LeaderRecord};
+use crate::links::Links;
 use crate::os::{HttpClient, Os, Signal, System};
 use crate::settings::{Settings, SettingsError};
 use crate::state_store::Store;
 use crate::state_store::bucket::TokenBucket;
 use crate::time::{Micros, Moment};
 use crate::workers::edge::WorkerClients;
+use aspenreel_links::evidence::{Link, NodeName};
+use aspenreel_links::handover::{HandoverPlanner, HandoverRecord};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicUsize};
@@ -83,6 +86,12 @@
     pub knocks: VecDeque<Moment>,
     /// Where the watch on jobs goes on.
     pub jobs_revision: u64,
+    /// The newest term that this node has heard of.
+    pub newest_term: u64,
+    /// Considers handovers while this node leads and watches its links.
+    pub handover_planner: Option<HandoverPlanner>,
+    /// The lead is to be given up for a better-placed peer.
+    pub handover: Option<HandoverRecord>,
 }
 
 impl Core {
@@ -124,6 +133,8 @@
     pub alone: AtomicBool,
     /// The record format that all controllers are known to know, as last read.
     pub level: Mutex<Level>,
+    /// What is believed of the links, where they are watched.
+    pub links: Option<Arc<Links>>,
 }
 
 impl Node {
@@ -134,6 +145,9 @@
     ) -> Result<Node, SettingsError> {
         let asked = options.hold_ms.map(Micros::from_millis);
         let lease_life = settings.leader_lease(asked)?;
+        let links = options.links.settings()?;
+        let links = links.map(|links| Arc::new(Links::new(&settings, links, os.wall())));
+        let sink = links.as_ref().map(|links| links.sink.clone());
         let now = os.now();
         let nodes = settings.members.len() as f64 + 1.0;
         let site = &settings.settings;
@@ -143,11 +157,17 @@
         let peers = settings
             .members
             .iter()
-            .map(|m| (m.node.clone(), PeerClient::new(os.clone(), m.peer_addr)))
+            .map(|member| {
+                let link = Link::Peer(NodeName(member.node.clone()));
+                let client = PeerClient::new(os.clone(), member.peer_addr);
+                let client = client.with_evidence(link, sink.clone());
+                (member.node.clone(), client)
+            })
             .collect();
         Ok(Node {
             // The leader reads and writes most; the shares still stay below the limit together.
-            store: Store::new(settings.endpoints.state, limits.rps / nodes, os.clone()),
+            store: Store::new(settings.endpoints.state, limits.rps / nodes, os.clone())
+                .with_evidence(sink),
             cloud: os.http(settings.endpoints.cloud),
             core: Mutex::new(Core {
                 finals: Finals::new(site.quota.remembered()),
@@ -163,6 +183,7 @@
             open: Arc::default(),
             alone: AtomicBool::new(false),
             level: Mutex::default(),
+            links,
             lease_life,
             os,
             settings,
@@ -228,6 +249,10 @@
             ("company", duty(Node::company_loop)),
             ("level", duty(Node::level_loop)),
         ];
+        if self.links.is_some() {
+            duties.push(("links", duty(Node::links_loop)));
+            duties.push(("link-exchange", duty(Node::link_exchange_loop)));
+        }
         for _ in 0..self.settings.settings.quota.direct_threads() {
             duties.push(("direct", duty(Node::direct_loop)));
         }
@@ -302,7 +327,7 @@
                 }
                 self.wake(cluster);
                 let unheard = acting_since.is_some_and(|since| cluster.unheard(since, now));
-                if unheard && core.abstain_until <= now {
+                if unheard && self.stands_down_unasked() && core.abstain_until <= now {
                     log::info!("most workers are silent: standing down");
                     core.step_down = true;
                     core.abstain_until = now + ABSTAIN;
@@ -311,6 +336,12 @@
         }
     }
 
+    /// A leader that hears few workers stands down whoever else hears them, unless it can tell.
+    fn stands_down_unasked(&self) -> bool {
+        let links = self.links.as_ref();
+        links.is_none_or(|links| links.some_peer_without_views())
+    }
+
     pub fn answer_peer(&self, request: PeerRequest) -> PeerReply {
         match request {
             PeerRequest::Status { id } => {
@@ -331,6 +362,8 @@
             PeerRequest::Cancel { id } => self.cancel_here(&id),
             PeerRequest::Read { id } => self.read_for_peer(&id),
             PeerRequest::Accept { body } => self.accept_for_peer(&body),
+            PeerRequest::Links { view } => self.answer_view(&view),
+            PeerRequest::LinkReport => self.answer_link_report(),
         }
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -79,7 +79,7 @@
     /// machine and waiting job, so passes are spaced by how many machines there are.
     pub fn place_soon(&mut self, now: Moment) {
         let spacing = Micros(PASS_SPACING.0 * self.machines.len() as u64);
-        if self.dirty && now - self.last_pass >= spacing {
+        if self.permissions().assign && self.dirty && now - self.last_pass >= spacing {
             self.place(now);
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,10 @@
 
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
+    #[error(transparent)]
+    Links(#[from] aspenreel_links::settings::SettingsConflict),
+    #[error("{0} has no meaning without --half-cut-links")]
+    WithoutLinks(&'static str),
     #[error("settings {0}: {1}")]
     Read(String, std::io::Error),
     #[error("settings: {0}")]
--- a/src/state_store/mod.rs
+++ b/src/state_store/mod.rs
@@ -5,8 +5,10 @@
 
 use crate::http::cbor::{decode, encode};
 use crate::http::client::CallError;
+use crate::links::EvidenceSink;
 use crate::os::{HttpClient, Os};
 use crate::time::{Micros, Moment};
+use aspenreel_links::evidence::{Failure, Link, Outcome};
 use bucket::TokenBucket;
 use ciborium::Value;
 use serde::{Deserialize, Serialize};
@@ -140,6 +142,8 @@
     /// When it last answered, and when it last did not, in microseconds of this node's clock.
     last_answer: AtomicU64,
     last_silence: AtomicU64,
+    /// Where it is noted what calls showed of the links.
+    evidence: Option<Arc<EvidenceSink>>,
 }
 
 pub fn to_value<T: Serialize>(value: &T) -> Value {
@@ -152,6 +156,7 @@
 
 /// After this long a silence says nothing any more.
 const SILENCE_COUNTS: Micros = Micros::from_secs(2);
+const TRANSACTIONS_PATH: &str = "/multi";
 const CALL_TIME: Duration = Duration::from_millis(1500);
 
 impl Store {
@@ -164,9 +169,34 @@
             requests: Mutex::new(bucket),
             last_answer: AtomicU64::new(0),
             last_silence: AtomicU64::new(0),
+            evidence: None,
         }
     }
 
+    /// The same client, which notes what its calls show of the links.
+    pub fn with_evidence(self, evidence: Option<Arc<EvidenceSink>>) -> Self {
+        Store { evidence, ..self }
+    }
+
+    /// Notes what a call showed of its link. A call that never left shows nothing.
+    fn note_evidence(&self, path: &str, result: &Result<(u16, Vec<u8>), CallError>, at: Moment) {
+        let Some(evidence) = &self.evidence else {
+            return;
+        };
+        let outcome = match result {
+            Ok((503, _)) => Outcome::Failed(Failure::Refused),
+            Ok(_) => Outcome::Answered,
+            Err(CallError::Unsent(_)) => return,
+            Err(CallError::Unreached(_)) => Outcome::Failed(Failure::Unreachable),
+            Err(CallError::Unknown(_)) => Outcome::Failed(Failure::NoAnswer),
+        };
+        let link = match path {
+            TRANSACTIONS_PATH => Link::StateWrites,
+            _ => Link::StateReads,
+        };
+        evidence.note(link, outcome, at);
+    }
+
     /// When it last answered this node with anything but a refusal.
     pub fn last_answer(&self) -> Moment {
         Moment(self.last_answer.load(Ordering::Relaxed))
@@ -206,7 +236,9 @@
             }
         }
         let result = self.client.call(method, path, body, timeout);
-        let at = self.os.now().0;
+        let answered_at = self.os.now();
+        self.note_evidence(path, &result, answered_at);
+        let at = answered_at.0;
         match &result {
             Ok((503, _)) | Err(_) => self.last_silence.store(at, Ordering::Relaxed),
             Ok(_) => self.last_answer.store(at, Ordering::Relaxed),
@@ -292,7 +324,7 @@
             error: Option<String>,
         }
         let body = encode(&Body { guards, apply });
-        let (status, body) = self.call("POST", "/multi", &body, urgency, CALL_TIME)?;
+        let (status, body) = self.call("POST", TRANSACTIONS_PATH, &body, urgency, CALL_TIME)?;
         match status {
             200 => Ok(Commit::Done {
                 revision: Self::parse::<Answer>(&body)?.revision,
--- a/src/workers/edge.rs
+++ b/src/workers/edge.rs
@@ -2,7 +2,7 @@
 
 use super::Heartbeat;
 use super::direct::{DirectCall, DirectResult};
-use super::wire::{Commands, Misdirected, Orders, Report};
+use super::wire::{Commands, Misdirected, Orders, Report, Sender};
 use crate::http::cbor::{decode, encode};
 use crate::http::client::CallError;
 use crate::http::server::Response;
@@ -75,7 +75,10 @@
                 while core.knocks.len() > MAX_KNOCKS {
                     core.knocks.pop_front();
                 }
-                return self.misdirected(&core);
+                let response = self.misdirected(&core);
+                drop(core);
+                self.note_refused(body, now);
+                return response;
             }
         }
         let report: Report = match decode(body) {
@@ -115,6 +118,15 @@
         }
     }
 
+    /// Remembers whose heartbeat was refused, where links are watched.
+    fn note_refused(&self, body: &[u8], now: Moment) {
+        if let Some(links) = &self.links
+            && let Ok(sender) = decode::<Sender>(body)
+        {
+            links.refused_worker(&sender.host, now);
+        }
+    }
+
     /// Names the leader only while the state service vouched for it lately: a node that lost
     /// touch would send workers in circles.
     fn misdirected(&self, core: &crate::node::Core) -> Response {
--- a/src/workers/orders.rs
+++ b/src/workers/orders.rs
@@ -11,11 +11,13 @@
 impl Cluster {
     /// The orders for one machine: the difference between wanted and reported.
     pub(super) fn orders(&mut self, name: &str, now: Moment) -> Vec<Order> {
+        let may_release = self.permissions().release;
         let Some(machine) = self.machines.get_mut(name) else {
             return Vec::new();
         };
         let mut orders = Vec::new();
-        for orphan in &machine.orphans {
+        let orphans = machine.orphans.iter();
+        for orphan in orphans.filter(|orphan| may_release || !orphan.exited) {
             orders.push(Order {
                 verb: if orphan.exited {
                     Verb::Clear
@@ -46,6 +48,7 @@
             match (attempt.status, attempt.desired) {
                 // The worker's memory is the second copy of an outcome until it is recorded.
                 (Some(TaskStatus::Exited), _) if attempt.direct != Direct::Settled => {}
+                (Some(TaskStatus::Exited), _) if !may_release => {}
                 (Some(TaskStatus::Exited), _)
                     if !attempt.done || job.recorded.contains(key.1) || job.outcome.is_some() =>
                 {
--- a/src/workers/wire.rs
+++ b/src/workers/wire.rs
@@ -26,6 +26,12 @@
     pub tasks: Vec<TaskReport>,
 }
 
+/// Of a report, only whose it is.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Sender {
+    pub host: String,
+}
+
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct TaskReport {
     pub piece: String,
--- a/tests/common/nodes.rs
+++ b/tests/common/nodes.rs
@@ -1,9 +1,9 @@
 //! Real controller processes on loopback.
 
-use crate::standin::{Cloud, State};
 use aspenreel::http::cbor::{decode, encode};
 use aspenreel::http::client::Client;
 use aspenreel::state_store::from_value;
+use aspenreel_testbed::servers::{Cloud, State};
 use ciborium::cbor;
 use serde::Deserialize;
 use std::net::{SocketAddr, TcpListener};
--- a/tests/model/services.rs
+++ b/tests/model/services.rs
@@ -1,9 +1,10 @@
 //! Standing services: what happens to them when machines and leaders are lost.
 
-use crate::plans::*;
-use crate::sched::lock;
-use crate::world::{Setup, World};
-use crate::{play, trouble};
+use aspenreel_testbed::plans::*;
+use aspenreel_testbed::play::play;
+use aspenreel_testbed::sched::lock;
+use aspenreel_testbed::trouble;
+use aspenreel_testbed::world::{Setup, World};
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 
--- a/tests/model/upgrades.rs
+++ b/tests/model/upgrades.rs
@@ -1,12 +1,13 @@
 //! Upgrades while serving: limits that are lowered, and controllers of the version in production.
 
-use crate::checker::{JobPlan, Question};
-use crate::keys::Limits;
-use crate::plans::*;
 use crate::services::standing_jobs;
-use crate::world::{Setup, World};
-use crate::{older, play};
 use aspenreel::http::cbor::json_len;
+use aspenreel_testbed::checker::{JobPlan, Question};
+use aspenreel_testbed::keys::Limits;
+use aspenreel_testbed::older;
+use aspenreel_testbed::plans::*;
+use aspenreel_testbed::play::play;
+use aspenreel_testbed::world::{Setup, World};
 use std::sync::Arc;
 
 /// What the state service takes once its limits are lowered.
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -1,13 +1,9 @@
 //! Real controller processes on loopback, with stand-ins for all that they talk to.
 
-#[path = "common/keys.rs"]
-mod keys;
 #[path = "common/nodes.rs"]
 mod nodes;
 #[path = "service/side_by_side.rs"]
 mod side_by_side;
-#[path = "common/standin.rs"]
-mod standin;
 
 use aspenreel::http::cbor::{decode, encode};
 use aspenreel::http::client::Client;
@@ -16,9 +12,9 @@
 use aspenreel::os::System;
 use aspenreel::state_store::{Change, Commit, Store, Urgency, to_value};
 use aspenreel::time::Micros;
+use aspenreel_testbed::servers::{Cloud, Door, State};
 use ciborium::{Value, cbor};
 use nodes::{Answer, Nodes, job, leader, serving, spawn};
-use standin::{Cloud, Door, State};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -303,7 +299,7 @@
     let (_state, state_addr) = State::start();
     let (_cloud, cloud_addr) = Cloud::start();
     let silent = Arc::new(Silent::default());
-    let silent_addr = standin::listen(silent.clone());
+    let silent_addr = aspenreel_testbed::servers::listen(silent.clone());
     let states = [silent_addr, state_addr, state_addr];
     let nodes = Nodes::start_with(states, cloud_addr, "silent");
     for node in 0..3 {
--- a/tests/service/side_by_side.rs
+++ b/tests/service/side_by_side.rs
@@ -3,9 +3,9 @@
 //! The older one is built from the repository's history, at the commit that `deploy/service.toml` names.
 
 use crate::nodes::{Answer, Nodes, job, leader, spawn, spawn_as};
-use crate::standin::{Cloud, Door, State};
 use aspenreel::http::cbor::encode;
 use aspenreel::state_store::to_value;
+use aspenreel_testbed::servers::{Cloud, Door, State};
 use ciborium::cbor;
 use serde::Deserialize;
 use std::path::{Path, PathBuf};
