Half-cut links before real processes: relays cut one direction at a time; aspenreel links

Need: the model can't show what real sockets do, and operators had no way to see what a controller believes. A leader whose answers are lost still got reports; heartbeats that come later than from a worker that is answered don't count any more.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - Stand-ins for the state service, the cloud and its workers: [`keys`] is the store itself,
 //!   [`servers`] speaks to real processes over loopback.
+//! - Relays that cut single directions between real processes ([`relay`]).
 //! - A model of whole clusters on simulated time: the production code of several controllers, with all of
 //!   its threads, in one process ([`world`], [`sched`], [`net`], [`machines`], [`users`]).
 //! - An independent checker of the protocol's rules ([`checker`]), which knows only what users were
@@ -16,6 +17,7 @@
 pub mod older;
 pub mod plans;
 pub mod play;
+pub mod relay;
 pub mod sched;
 pub mod servers;
 pub mod trouble;
--- /dev/null
+++ b/crates/testbed/src/relay.rs
@@ -0,0 +1,137 @@
+//! A relay between two ends on loopback, each direction of which can be blocked, delayed or reset.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// How often a blocked direction looks whether it is open again.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+const CONNECT_TIME: Duration = Duration::from_secs(2);
+
+/// What happens to bytes that go one way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Traffic {
+    #[default]
+    Passes,
+    /// It is held back, and delivered once the way is open again.
+    Blocked,
+    /// It arrives later.
+    Delayed(Duration),
+    /// Connections are reset.
+    Reset,
+}
+
+#[derive(Debug, Default)]
+struct Directions {
+    there: Traffic,
+    back: Traffic,
+}
+
+/// A relay to one address. It runs until the process ends.
+#[derive(Clone)]
+pub struct Relay {
+    pub addr: SocketAddr,
+    directions: Arc<Mutex<Directions>>,
+}
+
+#[derive(Clone, Copy)]
+enum Direction {
+    There,
+    Back,
+}
+
+impl Relay {
+    pub fn to(target: SocketAddr) -> Relay {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let relay = Relay {
+            addr: listener.local_addr().unwrap(),
+            directions: Arc::default(),
+        };
+        let accepting = relay.clone();
+        std::thread::spawn(move || accepting.accept(&listener, target));
+        relay
+    }
+
+    /// What happens to what is sent to the target.
+    pub fn set_there(&self, traffic: Traffic) {
+        self.directions.lock().unwrap().there = traffic;
+    }
+
+    /// What happens to what the target answers.
+    pub fn set_back(&self, traffic: Traffic) {
+        self.directions.lock().unwrap().back = traffic;
+    }
+
+    fn traffic(&self, direction: Direction) -> Traffic {
+        let directions = self.directions.lock().unwrap();
+        match direction {
+            Direction::There => directions.there,
+            Direction::Back => directions.back,
+        }
+    }
+
+    fn accept(&self, listener: &TcpListener, target: SocketAddr) {
+        for near in listener.incoming() {
+            let Ok(near) = near else { continue };
+            if self.traffic(Direction::There) == Traffic::Reset {
+                continue;
+            }
+            let relay = self.clone();
+            std::thread::spawn(move || relay.connect(near, target));
+        }
+    }
+
+    fn connect(self, near: TcpStream, target: SocketAddr) {
+        let Ok(far) = TcpStream::connect_timeout(&target, CONNECT_TIME) else {
+            return;
+        };
+        let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) else {
+            return;
+        };
+        let back = self.clone();
+        std::thread::spawn(move || back.pump(far_copy, near_copy, Direction::Back));
+        self.pump(near, far, Direction::There);
+    }
+
+    /// Copies one direction until either end closes.
+    fn pump(&self, mut from: TcpStream, mut to: TcpStream, direction: Direction) {
+        let _ = from.set_read_timeout(Some(LOOK_EVERY));
+        let mut buffer = [0; 16 * 1024];
+        loop {
+            match self.traffic(direction) {
+                Traffic::Blocked => {
+                    std::thread::sleep(LOOK_EVERY);
+                    continue;
+                }
+                Traffic::Reset => break,
+                Traffic::Passes | Traffic::Delayed(_) => {}
+            }
+            let count = match from.read(&mut buffer) {
+                Ok(0) => break,
+                Ok(count) => count,
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    continue;
+                }
+                Err(_) => break,
+            };
+            self.hold_back(direction);
+            if to.write_all(&buffer[..count]).is_err() {
+                break;
+            }
+        }
+        let _ = from.shutdown(Shutdown::Both);
+        let _ = to.shutdown(Shutdown::Both);
+    }
+
+    /// What was read just as the direction was blocked waits as well.
+    fn hold_back(&self, direction: Direction) {
+        if let Traffic::Delayed(time) = self.traffic(direction) {
+            std::thread::sleep(time);
+        }
+        while self.traffic(direction) == Traffic::Blocked {
+            std::thread::sleep(LOOK_EVERY);
+        }
+    }
+}
--- a/crates/testbed/src/servers.rs
+++ b/crates/testbed/src/servers.rs
@@ -2,6 +2,7 @@
 //!
 //! Written from the published protocol, as small as the tests allow.
 
+use crate::checker::{Checker, Place};
 use crate::keys::{Answer, Keys, Watch};
 use aspenreel::http::cbor::{decode, encode};
 use aspenreel::http::client::Client;
@@ -11,6 +12,7 @@
 use serde::Deserialize;
 use std::collections::{HashMap, HashSet};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -132,9 +134,36 @@
     }
 }
 
+/// The rules, watched from what workers do.
+pub struct History {
+    pub checker: Checker,
+    since: Instant,
+}
+
+impl History {
+    pub fn new(checker: Checker) -> History {
+        History {
+            checker,
+            since: Instant::now(),
+        }
+    }
+
+    /// Now, as the checker counts time.
+    pub fn now(&self) -> u64 {
+        self.since.elapsed().as_micros() as u64
+    }
+}
+
+/// The ways by which one worker is reached, one for each controller; its own address where there are none.
+pub type WorkerWays = Box<dyn Fn(SocketAddr) -> Vec<SocketAddr> + Send + Sync>;
+
 /// What all workers share: who runs what, and what went wrong.
 #[derive(Default)]
 pub struct Ground {
+    /// Where the rules are watched, if they are.
+    pub history: Mutex<Option<History>>,
+    /// How long a task runs, in milliseconds; 0: 150.
+    pub task_ms: AtomicU64,
     pub running: Mutex<HashMap<String, String>>,
     pub started: Mutex<HashSet<String>>,
     pub broken: Mutex<Vec<String>>,
@@ -161,11 +190,50 @@
 
 struct Worker {
     name: String,
-    addr: Mutex<String>,
+    /// Its own address, or one way to it for each controller.
+    addresses: Mutex<Vec<SocketAddr>>,
+    /// The controller that it reports to.
+    at: AtomicUsize,
     inner: Mutex<Inner>,
     ground: Arc<Ground>,
 }
 
+impl Ground {
+    fn task_time(&self) -> Duration {
+        match self.task_ms.load(Ordering::Relaxed) {
+            0 => Duration::from_millis(150),
+            ms => Duration::from_millis(ms),
+        }
+    }
+
+    fn note(&self, work: impl FnOnce(&mut Checker, u64)) {
+        if let Some(history) = &mut *self.history.lock().unwrap() {
+            let now = history.now();
+            work(&mut history.checker, now);
+        }
+    }
+
+    fn note_start(&self, piece: &str, machine: &str) {
+        let (job, task) = parts(piece);
+        let place = Place {
+            machine: machine.into(),
+            zone: "east".into(),
+            spot: true,
+        };
+        self.note(|checker, now| checker.starts(job, task, &place, now));
+    }
+
+    fn note_end(&self, piece: &str, machine: &str, done: bool) {
+        let (job, task) = parts(piece);
+        self.note(|checker, _| checker.leaves(job, task, machine, done));
+    }
+}
+
+fn parts(piece: &str) -> (&str, u32) {
+    let (job, task) = piece.rsplit_once('/').unwrap();
+    (job, task.parse().unwrap())
+}
+
 impl Worker {
     fn execute(&self, orders: &[Order]) {
         let mut inner = self.inner.lock().unwrap();
@@ -186,6 +254,7 @@
                         let text = format!("{} on {other} and {}", o.piece, self.name);
                         self.ground.broken.lock().unwrap().push(text);
                     }
+                    self.ground.note_start(&o.piece, &self.name);
                     self.ground.started.lock().unwrap().insert(o.piece.clone());
                     let job = o.piece.split('/').next().unwrap();
                     let endless = self.ground.endless.lock().unwrap().contains(job);
@@ -197,7 +266,7 @@
                             cause: None,
                             stored: None,
                         },
-                        ends: (!endless).then(|| Instant::now() + Duration::from_millis(150)),
+                        ends: (!endless).then(|| Instant::now() + self.ground.task_time()),
                     });
                 }
                 (Verb::Stop, Some(i)) => self.exit(&mut inner.tasks[i], Cause::Stopped),
@@ -213,6 +282,8 @@
         if task.report.status != TaskStatus::Exited {
             task.report.status = TaskStatus::Exited;
             task.report.cause = Some(cause);
+            let done = cause == Cause::Done;
+            self.ground.note_end(&task.report.piece, &self.name, done);
             self.ground
                 .running
                 .lock()
@@ -221,7 +292,8 @@
         }
     }
 
-    fn report(&self) -> Report {
+    /// Its report, to or from the controller with this number.
+    fn report(&self, controller: usize) -> Report {
         let mut inner = self.inner.lock().unwrap();
         for task in &mut inner.tasks {
             if task.ends.is_some_and(|e| e <= Instant::now()) {
@@ -231,7 +303,7 @@
         inner.tick += 1;
         Report {
             machine: self.name.clone(),
-            addr: self.addr.lock().unwrap().clone(),
+            addr: self.addr_for(controller),
             type_name: "small".into(),
             zone: "east".into(),
             spot: true,
@@ -243,6 +315,12 @@
         }
     }
 
+    fn addr_for(&self, controller: usize) -> String {
+        let addresses = self.addresses.lock().unwrap();
+        let addr = addresses.get(controller).or(addresses.first());
+        addr.map(SocketAddr::to_string).unwrap_or_default()
+    }
+
     /// Kills everything when nobody answered for too long.
     fn end_lease(&self) {
         let mut inner = self.inner.lock().unwrap();
@@ -264,7 +342,8 @@
             self.end_lease();
             let sent = Instant::now();
             let client = Client::new(controllers[at].1);
-            let report = self.report();
+            let report = self.report(at);
+            self.at.store(at, Ordering::Relaxed);
             let body = encode(&report);
             let result = client.call("POST", "/checkin", &body, Duration::from_secs(2));
             match result {
@@ -313,7 +392,10 @@
             self.inner.lock().unwrap().token = commands.baton;
             self.execute(&commands.orders);
         }
-        Response::new(if stale { 409 } else { 200 }, encode(&self.report()))
+        Response::new(
+            if stale { 409 } else { 200 },
+            encode(&self.report(self.at.load(Ordering::Relaxed))),
+        )
     }
 }
 
@@ -323,6 +405,8 @@
     machines: Mutex<Vec<String>>,
     hires: Mutex<HashMap<String, Vec<String>>>,
     pub controllers: Mutex<Vec<(String, SocketAddr)>>,
+    /// How controllers reach new workers.
+    pub worker_ways: Mutex<Option<WorkerWays>>,
 }
 
 impl Cloud {
@@ -332,6 +416,7 @@
             machines: Mutex::default(),
             hires: Mutex::default(),
             controllers: Mutex::default(),
+            worker_ways: Mutex::default(),
         });
         let addr = listen(cloud.clone());
         (cloud, addr)
@@ -343,7 +428,8 @@
         machines.push(name.clone());
         let worker = Arc::new(Worker {
             name: name.clone(),
-            addr: Mutex::default(),
+            addresses: Mutex::default(),
+            at: AtomicUsize::new(0),
             inner: Mutex::new(Inner {
                 tasks: Vec::new(),
                 token: 0,
@@ -353,7 +439,10 @@
             }),
             ground: self.ground.clone(),
         });
-        *worker.addr.lock().unwrap() = listen(worker.clone()).to_string();
+        let own = listen(worker.clone());
+        let ways = self.worker_ways.lock().unwrap();
+        *worker.addresses.lock().unwrap() = ways.as_ref().map_or(vec![own], |ways| ways(own));
+        drop(ways);
         let controllers = self.controllers.lock().unwrap().clone();
         std::thread::spawn(move || worker.work(controllers));
         name
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -413,7 +413,17 @@
     }
 
     /// How many of the machines that should report do.
-    pub fn hearing(&self, now: Moment) -> Hearing {
+    fn hearing(&self, now: Moment) -> Hearing {
+        self.hearing_where(now, |_| true)
+    }
+
+    /// The same, but only of those whose heartbeats come as regularly as from a worker that is answered.
+    pub fn hearing_both_ways(&self, now: Moment) -> Hearing {
+        let patience = self.silence();
+        self.hearing_where(now, |m| m.heartbeat_gap <= patience)
+    }
+
+    fn hearing_where(&self, now: Moment, counts: impl Fn(&Machine) -> bool) -> Hearing {
         let patience = self.silence();
         let silent_at = |m: &&Machine| m.last_report.is_none_or(|t| now - t > patience);
         let known: Vec<&Machine> = self
@@ -422,7 +432,8 @@
             .filter(|m| !m.lost && !m.returning && !m.recalled)
             .filter(|m| m.last_report.is_some() || self.unseen.contains(&m.name))
             .collect();
-        let silent = known.iter().filter(|m| silent_at(m)).count();
+        let silent = known.iter().filter(|m| silent_at(m) || !counts(m));
+        let silent = silent.count();
         Hearing {
             heard: (known.len() - silent) as u32,
             known: known.len() as u32,
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -32,9 +32,8 @@
 
 /// A view older than this says nothing any more.
 const VIEW_BELIEVED_FOR: Micros = Micros::from_secs(4);
-/// A worker that can't reach the leader tries every other controller within this many reports' time:
-/// it gives each up after 4 s and waits 1 s before the next.
-const REFUSED_WINDOW_REPORTS: f64 = 4.0;
+/// A worker gives a controller up after 4 s, and waits 1 s before it tries the next.
+const WORKER_RETRY: Micros = Micros::from_secs(6);
 
 /// What other threads may read at any time, without a lock.
 #[derive(Clone, Debug)]
@@ -70,7 +69,7 @@
         let members = settings.members.iter();
         let peers: Vec<NodeName> = members.map(|m| NodeName(m.node.clone())).collect();
         let site = &settings.settings;
-        let window = site.workers.report().scaled(REFUSED_WINDOW_REPORTS);
+        let window = site.workers.report().scaled(2.0) + WORKER_RETRY;
         let published = Published {
             report: LinkReport {
                 node: own.clone(),
--- a/src/links/watch.rs
+++ b/src/links/watch.rs
@@ -31,7 +31,9 @@
         let now = self.now();
         let refused = lock(&links.refused).count(now);
         let mut core = self.core();
-        let hearing = core.acting(now).map(|(_, cluster)| cluster.hearing(now));
+        let hearing = core
+            .acting(now)
+            .map(|(_, cluster)| cluster.hearing_both_ways(now));
         let hearing = hearing.unwrap_or(Hearing {
             heard: refused,
             known: 0,
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -168,6 +168,9 @@
     /// When it last checked in. Direct answers prove neither that its lease is renewed nor that it
     /// reaches anybody: a machine that only answers loses one session after the other.
     pub last_heartbeat: Option<Moment>,
+    /// Time between its last two heartbeats. A worker that gets no answer tries another controller
+    /// first, and comes back later than it would have.
+    pub heartbeat_gap: Micros,
     /// When the last direct call that it answered began.
     pub answered_from: Option<Moment>,
     pub recalled: bool,
@@ -220,6 +223,7 @@
             lease_from: now,
             last_report: None,
             last_heartbeat: None,
+            heartbeat_gap: Micros::ZERO,
             answered_from: None,
             recalled: false,
             recall_at: None,
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -12,7 +12,7 @@
 pub use machine::{Attempt, AttemptKey, DesiredState, Direct, Image, Machine, Orphan, Suspicion};
 
 use crate::cluster::Cluster;
-use crate::time::Moment;
+use crate::time::{Micros, Moment};
 use wire::{Order, Report};
 
 /// What a heartbeat is answered with.
@@ -72,6 +72,7 @@
         // It may take work again from here on.
         self.dirty |= !machine.is_alive(self.config.report, now);
         machine.checked = seen;
+        machine.heartbeat_gap = machine.last_heartbeat.map_or(Micros::ZERO, |t| now - t);
         machine.last_heartbeat = Some(now);
         machine.lease_from = now;
         if (report.session, report.tick) > (machine.session, machine.tick) {
--- a/tests/common/nodes.rs
+++ b/tests/common/nodes.rs
@@ -35,6 +35,21 @@
     }
 }
 
+/// Where three controllers listen, for users and for each other.
+pub struct Addresses {
+    pub public: Vec<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
+}
+
+impl Addresses {
+    pub fn free() -> Addresses {
+        Addresses {
+            public: (0..3).map(|_| free()).collect(),
+            peers: (0..3).map(|_| free()).collect(),
+        }
+    }
+}
+
 pub struct Nodes {
     pub public: Vec<SocketAddr>,
     pub configs: Vec<PathBuf>,
@@ -57,8 +72,24 @@
         cloud: SocketAddr,
         tag: &str,
     ) -> Nodes {
-        let public: Vec<SocketAddr> = (0..3).map(|_| free()).collect();
-        let peers: Vec<SocketAddr> = (0..3).map(|_| free()).collect();
+        let addresses = Addresses::free();
+        let peers = addresses.peers.clone();
+        let ways = |_, to: usize| peers[to];
+        Nodes::start_at(addresses, ways, states, cloud, tag, |path| {
+            spawn_as(program, path)
+        })
+    }
+
+    /// Processes that reach each other by ways of the test's own.
+    pub fn start_at(
+        addresses: Addresses,
+        peer_way: impl Fn(usize, usize) -> SocketAddr,
+        states: [SocketAddr; 3],
+        cloud: SocketAddr,
+        tag: &str,
+        spawn: impl Fn(&Path) -> Child,
+    ) -> Nodes {
+        let Addresses { public, peers } = addresses;
         let mut nodes = Nodes {
             public: public.clone(),
             configs: Vec::new(),
@@ -70,7 +101,7 @@
                 .map(|m| {
                     format!(
                         "[[members]]\nnode = \"n-{m}\"\nlocation = \"east\"\npeer_addr = \"{}\"\n",
-                        peers[m]
+                        peer_way(n, m)
                     )
                 })
                 .collect();
@@ -88,7 +119,7 @@
             let name = format!("aspenreel-{}-{tag}-{n}.toml", std::process::id());
             let path = std::env::temp_dir().join(name);
             std::fs::write(&path, text).unwrap();
-            nodes.children.push(spawn_as(program, &path));
+            nodes.children.push(spawn(&path));
             nodes.configs.push(path);
         }
         nodes
@@ -151,7 +182,7 @@
     }
 }
 
-fn newest() -> &'static Path {
+pub fn newest() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_aspenreel"))
 }
 
@@ -161,15 +192,30 @@
 
 /// A process of some version.
 pub fn spawn_as(program: &Path, config: &Path) -> Child {
+    spawn_with(program, config, &[])
+}
+
+/// A process that watches its links, with delays that suit the tests' short leases.
+pub fn spawn_watching(config: &Path) -> Child {
+    let flags = [
+        "--half-cut-links",
+        "--link-down-after-ms",
+        "600",
+        "--link-up-after-ms",
+        "300",
+        "--handover-after-ms",
+        "300",
+        "--handover-pause-ms",
+        "3000",
+    ];
+    spawn_with(newest(), config, &flags)
+}
+
+fn spawn_with(program: &Path, config: &Path, flags: &[&str]) -> Child {
     Command::new(program)
-        .args([
-            "serve",
-            "--hold-ms",
-            "2000",
-            "--round-ms",
-            "200",
-            "--config",
-        ])
+        .args(["serve", "--hold-ms", "2000", "--round-ms", "200"])
+        .args(flags)
+        .arg("--config")
         .arg(config)
         .env("LOG_LEVEL", "error")
         .stderr(Stdio::inherit())
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -1,5 +1,9 @@
 //! Real controller processes on loopback, with stand-ins for all that they talk to.
 
+#[path = "service/half_cut_links.rs"]
+mod half_cut_links;
+#[path = "service/links_command.rs"]
+mod links_command;
 #[path = "common/nodes.rs"]
 mod nodes;
 #[path = "service/side_by_side.rs"]
--- /dev/null
+++ b/tests/service/links_command.rs
@@ -0,0 +1,196 @@
+//! `aspenreel links`: what it prints and how it exits, whatever it finds at the other ends.
+
+use crate::nodes::{Nodes, leader, newest, serving, spawn, spawn_watching};
+use serde_json::Value;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+fn links(config: &Path, more: &[&str]) -> Output {
+    Command::new(newest())
+        .args(["links", "--timeout-ms", "1000", "--config"])
+        .arg(config)
+        .args(more)
+        .output()
+        .unwrap()
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+/// The controllers' answers, by name.
+fn json(config: &Path) -> (i32, Vec<Value>) {
+    let output = links(config, &["--json"]);
+    let answers = serde_json::from_slice(&output.stdout).unwrap();
+    (output.status.code().unwrap(), answers)
+}
+
+fn watching(tag: &str) -> (std::sync::Arc<aspenreel_testbed::servers::State>, Nodes) {
+    let (state, _, mut nodes) = serving(tag);
+    for n in 0..3 {
+        nodes.children[n].kill().unwrap();
+        nodes.children[n].wait().unwrap();
+        nodes.children[n] = spawn_watching(&nodes.configs[n]);
+        nodes.until(n, "GET", "/up", &[], |s, _| s == 200);
+    }
+    (state, nodes)
+}
+
+fn kill(nodes: &mut Nodes, n: usize) {
+    nodes.children[n].kill().unwrap();
+    nodes.children[n].wait().unwrap();
+}
+
+/// Waits until all three tell that one of them leads, and that all links to peers are up.
+fn settled(config: &Path) -> Vec<Value> {
+    let deadline = Instant::now() + Duration::from_secs(120);
+    loop {
+        let (code, answers) = json(config);
+        let leading = answers.iter().filter(|a| a["report"]["leads"] == true);
+        let peers_up = |answer: &Value| {
+            let rows = answer["report"]["links"].as_array();
+            let mut peers = rows
+                .into_iter()
+                .flatten()
+                .filter(|row| row["link"]["peer"].is_string());
+            peers.all(|row| row["state"] == "up")
+        };
+        if code == 0 && leading.count() == 1 && answers.iter().all(peers_up) {
+            return answers;
+        }
+        assert!(Instant::now() < deadline, "{answers:#?}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+#[test]
+fn all_controllers_answer() {
+    let (state, nodes) = watching("links-all");
+    let answers = settled(&nodes.configs[1]);
+    let names: Vec<&str> = answers.iter().filter_map(|a| a["node"].as_str()).collect();
+    assert_eq!(names, ["n-0", "n-1", "n-2"]);
+    let term = state.data("leader");
+    let output = links(&nodes.configs[0], &[]);
+    let table = text(&output);
+    let leads = format!("n-{}: leads", leader(&state).unwrap());
+    for wanted in [
+        leads.as_str(),
+        "decisions: all",
+        "state-reads",
+        "state-writes",
+        "workers",
+    ] {
+        assert!(table.contains(wanted), "{wanted} isn't in:\n{table}");
+    }
+    assert_eq!(output.status.code(), Some(0));
+    // It only looks.
+    assert_eq!(state.data("leader"), term);
+}
+
+#[test]
+fn those_that_do_not_answer_are_named() {
+    let (_, mut nodes) = watching("links-some");
+    settled(&nodes.configs[0]);
+    kill(&mut nodes, 2);
+    nodes.children[1].kill().unwrap();
+    nodes.children[1].wait().unwrap();
+    nodes.children[1] = spawn(&nodes.configs[1]);
+    nodes.until(1, "GET", "/up", &[], |s, _| s == 200);
+    let output = links(&nodes.configs[0], &[]);
+    let table = text(&output);
+    assert!(table.contains("without --half-cut-links"), "{table}");
+    assert!(table.contains("refuses connections"), "{table}");
+    assert_eq!(output.status.code(), Some(3));
+    kill(&mut nodes, 0);
+    kill(&mut nodes, 1);
+    let (code, answers) = json(&nodes.configs[0]);
+    assert_eq!(code, 4);
+    assert!(
+        answers.iter().all(|a| a["problem"] == "refused"),
+        "{answers:#?}"
+    );
+}
+
+/// Serves every connection with something that no controller would say.
+fn answering(serve: fn(std::net::TcpStream)) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    addr
+}
+
+#[test]
+fn whatever_listens_there_the_command_ends() {
+    let http = answering(|mut s| drop(s.write_all(b"HTTP/1.1 400 Bad Request\r\n\r\n")));
+    let closes = answering(drop);
+    let trickles = answering(|mut s| {
+        // A frame of a thousand bytes, one at a time.
+        let _ = s.write_all(&1000u32.to_le_bytes());
+        while s.write_all(&[1]).is_ok() {
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    });
+    let path = std::env::temp_dir().join(format!("aspenreel-links-{}.toml", std::process::id()));
+    let member = |name, addr| {
+        format!("[[members]]\nnode = \"{name}\"\nlocation = \"east\"\npeer_addr = \"{addr}\"\n")
+    };
+    let settings = format!(
+        "node = \"a\"\nlocation = \"east\"\npublic_addr = \"127.0.0.1:9\"\npeer_listen = \"{http}\"\n{}{}\
+         [endpoints]\ncloud = \"127.0.0.1:9\"\nstate = \"127.0.0.1:9\"\n\
+         [settings]\nzones = [\"east\"]\nskew_ms = 5.0\nteams = [{{ name = \"a\", cpus = 1.0, cpus_max = 2.0 }}]\n\
+         workers = {{ report_s = 3.0, lease_s = 16.0, cancel_s = 41.0 }}\n\
+         state = {{ rps = 50.0, write_rps = 20.0, value_kb = 8.0, txn_ops = 12 }}\n\
+         cloud = {{ rps = 5.0, list_lag_s = 1.0 }}\nquota = {{ sockets = 500 }}\n",
+        member("b", closes),
+        member("c", trickles)
+    );
+    std::fs::write(&path, settings).unwrap();
+    let (code, answers) = json(&path);
+    let problems: Vec<&str> = answers
+        .iter()
+        .filter_map(|a| a["problem"].as_str())
+        .collect();
+    assert_eq!(problems, ["foreign", "closed", "silent"]);
+    assert_eq!(code, 4);
+    std::fs::remove_file(&path).unwrap();
+    let missing = links(&path, &[]);
+    assert_eq!(missing.status.code(), Some(2));
+    assert!(missing.stdout.is_empty());
+}
+
+/// Settings of links that contradict each other, or have no effect, end a controller before it listens.
+#[test]
+fn contradictory_flags_are_told_in_one_line() {
+    let (_, _, nodes) = serving("links-flags");
+    let refused = |flags: &[&str]| {
+        let output = Command::new(newest())
+            .arg("serve")
+            .args(flags)
+            .arg("--config")
+            .arg(&nodes.configs[0])
+            .output()
+            .unwrap();
+        assert_eq!(output.status.code(), Some(2));
+        String::from_utf8(output.stderr).unwrap()
+    };
+    let lines = [
+        refused(&["--handover-after-ms", "100"]),
+        refused(&[
+            "--half-cut-links",
+            "--link-up-after-ms",
+            "2000",
+            "--link-up-after-max-ms",
+            "1999",
+        ]),
+        refused(&["--half-cut-links", "--handover-pause-ms", "130000"]),
+        refused(&["--half-cut-links", "--hold-ms", "8000"]),
+    ];
+    insta::assert_snapshot!(lines.concat());
+}
--- a/tests/service/side_by_side.rs
+++ b/tests/service/side_by_side.rs
@@ -2,7 +2,7 @@
 //!
 //! The older one is built from the repository's history, at the commit that `deploy/service.toml` names.
 
-use crate::nodes::{Answer, Nodes, job, leader, spawn, spawn_as};
+use crate::nodes::{Answer, Nodes, job, leader, newest, spawn, spawn_as, spawn_watching};
 use aspenreel::http::cbor::encode;
 use aspenreel::state_store::to_value;
 use aspenreel_testbed::servers::{Cloud, Door, State};
@@ -84,6 +84,8 @@
 enum Version {
     Production,
     Newest,
+    /// The newest, with `--half-cut-links`.
+    Watching,
 }
 
 impl Mixed {
@@ -122,6 +124,7 @@
         self.nodes.children[n] = match version {
             Version::Production => spawn_as(self.old, &self.nodes.configs[n]),
             Version::Newest => spawn(&self.nodes.configs[n]),
+            Version::Watching => spawn_watching(&self.nodes.configs[n]),
         };
         self.nodes.until(n, "GET", "/up", &[], |s, _| s == 200);
     }
@@ -445,3 +448,44 @@
     mixed.until_nothing_runs();
     mixed.nothing_broke();
 }
+
+/// Controllers that watch their links beside one of the version in production, which closes the connection
+/// on what it doesn't know: each leads in turn, jobs run, and going back needs nothing.
+#[test]
+fn watched_links_beside_the_version_in_production() {
+    let Some(old) = production() else { return };
+    let mut mixed = Mixed::start(old, "watching");
+    mixed.restart(1, Version::Watching);
+    mixed.restart(2, Version::Watching);
+    for (n, id) in [(1, "run-1"), (0, "run-2"), (2, "run-3")] {
+        mixed.lead(n);
+        let accepted = |s, _: &Option<Answer>| s == 201 || s == 200;
+        mixed
+            .nodes
+            .until(n, "POST", "/work", &job(id, 4, 1.0), accepted);
+        mixed.nodes.until_status((n + 1) % 3, id, "done");
+    }
+    let output = Command::new(newest())
+        .args(["links", "--config"])
+        .arg(&mixed.nodes.configs[1])
+        .output()
+        .unwrap();
+    let table = String::from_utf8(output.stdout).unwrap();
+    assert!(
+        table.contains("closes the connection: an earlier version"),
+        "{table}"
+    );
+    assert!(
+        table.contains("view of n-0: doesn't exchange views"),
+        "{table}"
+    );
+    assert_eq!(output.status.code(), Some(3));
+    for n in [1, 2] {
+        mixed.restart(n, Version::Newest);
+    }
+    mixed.nodes.until_status(0, "run-1", "done");
+    assert_eq!(
+        *mixed.cloud.ground.broken.lock().unwrap(),
+        Vec::<String>::new()
+    );
+}
