--- /dev/null
+++ b/crates/report/src/plot.rs
@@ -0,0 +1,110 @@
+//! Grouped bars as SVG.
+
+use plotters::prelude::*;
+
+const SIZE: (u32, u32) = (900, 420);
+const FONT: (&str, i32) = ("sans-serif", 15);
+const COLOURS: [RGBColor; 3] = [
+    RGBColor(136, 136, 136),
+    RGBColor(31, 119, 180),
+    RGBColor(214, 39, 40),
+];
+/// Part of a group's width that its bars take together.
+const BARS_WIDTH: f64 = 0.7;
+/// Room above the highest bar.
+const HEADROOM: f64 = 1.15;
+
+/// A plot that couldn't be drawn.
+#[derive(Debug, thiserror::Error)]
+#[error("plot {title}: {reason}")]
+pub struct PlotError {
+    title: String,
+    reason: String,
+}
+
+/// Bars side by side for each group, one for each series.
+#[derive(Clone, Debug)]
+pub struct GroupedBars {
+    /// The plot's title.
+    pub title: String,
+    /// What the bars' height is.
+    pub y_label: String,
+    /// The series' names.
+    pub series: Vec<String>,
+    /// Each group's name and a value for each series, where there is one.
+    pub groups: Vec<(String, Vec<Option<f64>>)>,
+}
+
+impl GroupedBars {
+    /// The plot as SVG.
+    pub fn to_svg(&self) -> Result<String, PlotError> {
+        let mut svg = String::new();
+        let drawn = self.draw(&mut svg);
+        drawn.map_err(|e| PlotError {
+            title: self.title.clone(),
+            reason: e.to_string(),
+        })?;
+        Ok(svg)
+    }
+
+    fn draw(&self, svg: &mut String) -> Result<(), Box<dyn std::error::Error + '_>> {
+        let values = self.groups.iter().flat_map(|(_, values)| values);
+        let highest = values.flatten().copied().fold(0.0, f64::max);
+        let area = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(&self.title, ("sans-serif", 20))
+            .margin(12)
+            .x_label_area_size(50)
+            .y_label_area_size(60)
+            .build_cartesian_2d(
+                0.0..self.groups.len() as f64,
+                0.0..(highest * HEADROOM).max(1.0),
+            )?;
+        let label = |x: &f64| {
+            let (index, middle) = (x.floor() as usize, (x.fract() - 0.5).abs() < 0.01);
+            let group = self.groups.get(index).filter(|_| middle);
+            group.map_or(String::new(), |(name, _)| name.clone())
+        };
+        chart
+            .configure_mesh()
+            .disable_x_mesh()
+            .y_desc(&self.y_label)
+            .x_labels(2 * self.groups.len() + 1)
+            .x_label_formatter(&label)
+            .label_style(FONT)
+            .draw()?;
+        for (number, name) in self.series.iter().enumerate() {
+            let colour = COLOURS[number % COLOURS.len()];
+            chart
+                .draw_series(self.bars(number, colour))?
+                .label(name)
+                .legend(move |(x, y)| {
+                    Rectangle::new([(x, y - 5), (x + 12, y + 5)], colour.filled())
+                });
+        }
+        chart
+            .configure_series_labels()
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .label_font(FONT)
+            .position(SeriesLabelPosition::UpperRight)
+            .draw()?;
+        area.present()?;
+        Ok(())
+    }
+
+    /// The bars of one series.
+    fn bars(&self, number: usize, colour: RGBColor) -> Vec<Rectangle<(f64, f64)>> {
+        let width = BARS_WIDTH / self.series.len() as f64;
+        let mut bars = Vec::new();
+        for (group, (_, values)) in self.groups.iter().enumerate() {
+            if let Some(Some(value)) = values.get(number) {
+                let left = group as f64 + (1.0 - BARS_WIDTH) / 2.0 + width * number as f64;
+                let corners = [(left, 0.0), (left + width, *value)];
+                bars.push(Rectangle::new(corners, colour.filled()));
+            }
+        }
+        bars
+    }
+}
--- a/crates/testbed/src/play.rs
+++ b/crates/testbed/src/play.rs
@@ -3,7 +3,7 @@
 use crate::sched;
 use crate::world::{Setup, Summary, World};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 
 /// Room to play one model: whatever tests run at once, no more than there are processors.
 struct Room;
@@ -36,12 +36,28 @@
 pub fn play(
     seeds: u64,
     setup: &Setup,
-    plan: impl Fn(&std::sync::Arc<World>, &mut fastrand::Rng) + Sync,
+    plan: impl Fn(&Arc<World>, &mut fastrand::Rng) + Sync,
 ) -> Vec<Summary> {
     let seeds: Vec<u64> = match std::env::var("MODEL_SEED") {
         Ok(seed) => vec![seed.parse().unwrap()],
         Err(_) => (1..=seeds).collect(),
     };
+    let ends = play_seeds(&seeds, setup, plan);
+    let mut broken = Vec::new();
+    for (seed, end) in seeds.iter().zip(&ends) {
+        println!("seed {seed}: {end:?}");
+        broken.extend(end.broken.iter().map(|b| format!("seed {seed}: {b}")));
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+    ends
+}
+
+/// Plays a model with each of these seeds, several at once; how each ended, in their order.
+pub fn play_seeds(
+    seeds: &[u64],
+    setup: &Setup,
+    plan: impl Fn(&Arc<World>, &mut fastrand::Rng) + Sync,
+) -> Vec<Summary> {
     let next = AtomicUsize::new(0);
     let ends: Mutex<Vec<(u64, Summary)>> = Mutex::default();
     std::thread::scope(|scope| {
@@ -53,7 +69,6 @@
                     let w = World::new(*seed, setup.clone());
                     plan(&w, &mut fastrand::Rng::with_seed(*seed));
                     let end = w.finish();
-                    println!("seed {seed}: {end:?}");
                     sched::lock(&ends).push((*seed, end));
                 }
             });
@@ -61,10 +76,5 @@
     });
     let mut ends = std::mem::take(&mut *sched::lock(&ends));
     ends.sort_by_key(|(seed, _)| *seed);
-    let broken: Vec<String> = ends
-        .iter()
-        .flat_map(|(seed, end)| end.broken.iter().map(move |b| format!("seed {seed}: {b}")))
-        .collect();
-    assert!(broken.is_empty(), "{broken:#?}");
     ends.into_iter().map(|(_, end)| end).collect()
 }
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -524,7 +524,7 @@
             done: state.checker.told_done,
             leaders: state.terms.len(),
             terms: state.terms.clone(),
-            starts_by_term: state.starts_by_term.clone(),
+            starts_by_term: Starts(state.starts_by_term.clone()),
             questions_in_vain: state.checker.questions_in_vain,
             turnaround_s: state.checker.turnaround_s(),
             seconds: self.now() / 1_000_000,
@@ -555,6 +555,17 @@
     }
 }
 
+/// Starts that machines saw: when, and in which term they were decided.
+#[derive(Clone)]
+pub struct Starts(pub Vec<(Time, u64)>);
+
+impl std::fmt::Debug for Starts {
+    /// There may be thousands: their number is enough for a line.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} starts", self.0.len())
+    }
+}
+
 /// How a model ended.
 #[derive(Debug)]
 pub struct Summary {
@@ -567,7 +578,7 @@
     /// When each term began, its number and its leader.
     pub terms: Vec<(Time, u64, usize)>,
     /// When machines first saw orders to start, and the term that they were given in.
-    pub starts_by_term: Vec<(Time, u64)>,
+    pub starts_by_term: Starts,
     /// Users' questions that got no answer in time, or none that tells anything.
     pub questions_in_vain: u32,
     /// From each accepted job's submission until its user knew that it is done.
--- a/src/links/command.rs
+++ b/src/links/command.rs
@@ -68,7 +68,9 @@
         .map(|(node, addr)| {
             let (sender, receiver) = mpsc::channel();
             // A controller that sends byte by byte keeps its thread, but not this command.
-            std::thread::spawn(move || sender.send(ask(addr, timeout)));
+            std::thread::spawn(move || {
+                let _ = sender.send(ask(addr, timeout));
+            });
             (NodeName(node), addr, receiver)
         })
         .collect();
