Lists of many pages wait for tokens; peers beyond a cut; a model of 4,200 machines

Fault: with cloud.rps 5 a list of more than five pages (2,500 machines) was never completed, as its pages took all tokens at once. The new model of 4,200 machines showed it (last listed: never). Pages now wait for tokens, and lists take at most half of the calls. The last one traced: at a cut between zones the lead moved 14 s later, only once silent workers had found a peer.

--- a/crates/links/src/handover.rs
+++ b/crates/links/src/handover.rs
@@ -12,6 +12,7 @@
 use crate::workers::Hearing;
 use aspenreel_time::{Micros, Moment, WallTime};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::fmt;
 
 /// A peer must hear at least one in so many of the known workers more than the leader does.
@@ -82,9 +83,18 @@
     pub state_writes: LinkState,
     /// Peers' views that are young enough.
     pub views: &'a [&'a LinkView],
+    /// By peer that isn't reached from here, the silent workers of its zone. They are taken to be beyond
+    /// the same cut as the peer, so that it hears them: it takes workers up to a lease to find it and be counted.
+    pub silent_beyond: &'a BTreeMap<NodeName, u32>,
 }
 
 impl Situation<'_> {
+    /// How many workers a peer hears, or would hear.
+    fn hears(&self, view: &LinkView) -> u32 {
+        let beyond = self.silent_beyond.get(&view.from);
+        view.hearing.heard.max(beyond.copied().unwrap_or(0))
+    }
+
     /// The peer that is better placed, and in what. Equal peers are told apart by name.
     fn better_placed(&self) -> Option<Handover> {
         let mut able = Vec::new();
@@ -94,7 +104,7 @@
             }
         }
         able.sort_by(|a, b| {
-            let more_workers = b.hearing.heard.cmp(&a.hearing.heard);
+            let more_workers = self.hears(b).cmp(&self.hears(a));
             more_workers.then_with(|| a.from.cmp(&b.from))
         });
         let best = able.first()?;
@@ -106,7 +116,7 @@
             return Some(handover(Reason::CannotWrite));
         }
         let margin = (self.hearing.known / MARGIN_SHARE).max(1);
-        let hears_more = best.hearing.heard >= self.hearing.heard + margin;
+        let hears_more = self.hears(best) >= self.hearing.heard + margin;
         (self.hearing.is_blind() && hears_more).then(|| handover(Reason::WorkersUnheard))
     }
 }
--- a/crates/links/src/settings.rs
+++ b/crates/links/src/settings.rs
@@ -25,7 +25,7 @@
             down_after: Micros::from_millis(1500),
             up_after: Micros::from_millis(1000),
             up_after_max: Micros::from_secs(30),
-            handover_after: Micros::from_millis(1500),
+            handover_after: Micros::from_millis(1000),
             handover_pause: Micros::from_secs(20),
             handover_pause_max: Micros::from_secs(120),
         }
--- a/crates/testbed/src/machines.rs
+++ b/crates/testbed/src/machines.rs
@@ -3,7 +3,7 @@
 use crate::checker::{JobPlan, Place};
 use crate::cuts::End;
 use crate::sched::{Time, secs};
-use crate::world::{LEASE_S, REPORT_S, State, World};
+use crate::world::{CLOUD_RPS, LEASE_S, REPORT_S, State, World};
 use aspenreel::http::cbor::{Decimal, decode, encode};
 use aspenreel::http::server::{Handler, Request};
 use aspenreel::workers::wire::{Cause, Order, Report, TaskReport, TaskStatus, Verb};
@@ -65,10 +65,30 @@
     recall_at: Option<Time>,
 }
 
+/// Machines on one page of the list, at most.
+const MOST_LISTED: usize = 500;
+
+/// Where a page of the machine list begins, and how many it may hold.
+fn page_of(path: &str) -> (String, usize) {
+    let query = path.split_once('?').map_or("", |(_, query)| query);
+    let value = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    };
+    let since = value("since").unwrap_or("").to_string();
+    let most = value("most")
+        .and_then(|m| m.parse().ok())
+        .unwrap_or(MOST_LISTED);
+    (since, most.min(MOST_LISTED))
+}
+
 #[derive(Default)]
 pub struct Cloud {
     made: u32,
     hires: BTreeMap<String, Vec<String>>,
+    /// Requests that count against the limit, and when that was worked out.
+    requests: f64,
+    counted_at: Time,
     pub out_until: Time,
     /// Machines come up within two seconds until then.
     pub quick_until: Time,
@@ -814,6 +834,9 @@
         if self.state().cloud.out_until > now {
             return (503, encode(&cbor!({"error" => "trouble"}).unwrap()));
         }
+        if !self.cloud_has_room(now) {
+            return (429, Vec::new());
+        }
         let answer = |v: Result<Value, ciborium::value::Error>| (200, encode(&v.unwrap()));
         match r.path.split('?').next().unwrap() {
             "/catalog" => answer(cbor!({"builds" => [
@@ -832,37 +855,59 @@
                 }
                 answer(cbor!({"hosts" => names.hosts}))
             }
-            _ => {
-                let lag = self.random(3_000_000..6_000_000);
-                let then = now.saturating_sub(lag);
-                let state = self.state();
-                let listed = |m: &&Machine| {
-                    let died = m
-                        .died_at
-                        .is_none_or(|t| t + secs(LISTED_AFTER_DEATH_S) > then);
-                    m.created <= then && m.gone_at.is_none_or(|t| t > then) && died
-                };
-                let hosts: Vec<Value> = state
-                    .machines
-                    .values()
-                    .filter(listed)
-                    .map(|m| {
-                        let status = if m.up_at <= then {
-                            "running"
-                        } else {
-                            "starting"
-                        };
-                        cbor!({"ref" => &m.name, "build" => &m.type_name, "yard" => &m.zone,
-                            "loaners" => m.spot, "addr" => m.addr.to_string(), "status" => status,
-                            "heldS" => (then - m.created) as f64 / 1e6})
-                        .unwrap()
-                    })
-                    .collect();
-                answer(cbor!({"hosts" => hosts, "more" => false}))
-            }
+            _ => answer(self.listed(&r.path)),
         }
     }
 
+    /// One page of the machine list, as it was some seconds ago.
+    fn listed(&self, path: &str) -> Result<Value, ciborium::value::Error> {
+        let lag = self.random(3_000_000..6_000_000);
+        let then = self.now().saturating_sub(lag);
+        let (since, most) = page_of(path);
+        let state = self.state();
+        let listed = |m: &&Machine| {
+            let died = m
+                .died_at
+                .is_none_or(|t| t + secs(LISTED_AFTER_DEATH_S) > then);
+            m.created <= then && m.gone_at.is_none_or(|t| t > then) && died
+        };
+        let mut hosts: Vec<Value> = state
+            .machines
+            .values()
+            .filter(|m| m.name > since)
+            .filter(listed)
+            .take(most + 1)
+            .map(|m| {
+                let status = if m.up_at <= then {
+                    "running"
+                } else {
+                    "starting"
+                };
+                cbor!({"ref" => &m.name, "build" => &m.type_name, "yard" => &m.zone,
+                    "loaners" => m.spot, "addr" => m.addr.to_string(), "status" => status,
+                    "heldS" => (then - m.created) as f64 / 1e6})
+                .unwrap()
+            })
+            .collect();
+        let more = hosts.len() > most;
+        hosts.truncate(most);
+        cbor!({"hosts" => hosts, "more" => more})
+    }
+
+    /// Whether the cloud takes one more request now: so many a second, and bursts of two seconds' worth.
+    fn cloud_has_room(&self, now: Time) -> bool {
+        let mut state = self.state();
+        let cloud = &mut state.cloud;
+        let gained = (now - cloud.counted_at) as f64 / 1e6 * CLOUD_RPS;
+        cloud.requests = (cloud.requests - gained).max(0.0);
+        cloud.counted_at = now;
+        let room = cloud.requests + 1.0 <= 2.0 * CLOUD_RPS;
+        if room {
+            cloud.requests += 1.0;
+        }
+        room
+    }
+
     fn rented(self: &Arc<Self>, body: &[u8]) -> (u16, Vec<u8>) {
         #[derive(Deserialize)]
         struct Rent {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -70,7 +70,7 @@
           value_parser = clap::value_parser!(u64).range(100..=3_600_000))]
     pub link_up_after_max_ms: Option<u64>,
     /// A controller must be better placed for this long before it is handed the lead, in milliseconds
-    /// [default: 1500]
+    /// [default: 1000]
     #[arg(long, env = "ASPENREEL_HANDOVER_AFTER_MS",
           value_parser = clap::value_parser!(u64).range(0..=600_000))]
     pub handover_after_ms: Option<u64>,
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -506,15 +506,21 @@
 
     /// The zone of most machines that are silent.
     pub fn silent_zone(&self, now: Moment) -> Option<String> {
+        let zones = self.silent_by_zone(now);
+        let most = zones.into_iter().max_by_key(|(_, n)| *n)?;
+        Some(most.0.to_string())
+    }
+
+    /// How many machines are silent in each zone.
+    pub fn silent_by_zone(&self, now: Moment) -> BTreeMap<&str, u32> {
         let patience = self.silence();
-        let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+        let mut zones = BTreeMap::new();
         for m in self.machines.values() {
             if m.last_report.is_none_or(|t| now - t > patience) {
-                *zones.entry(&m.zone).or_insert(0) += 1;
+                *zones.entry(m.zone.as_str()).or_insert(0) += 1;
             }
         }
-        let most = zones.into_iter().max_by_key(|(_, n)| *n)?;
-        Some(most.0.to_string())
+        zones
     }
 
     /// A machine that an earlier term recorded, and when it existed at the latest.
--- a/src/fleet/edge.rs
+++ b/src/fleet/edge.rs
@@ -18,6 +18,11 @@
 const LIST_SOON: Micros = Micros::from_secs(1);
 const CATALOG_EVERY: Micros = Micros::from_secs(60);
 const LIST_PAGE: usize = 500;
+/// A list of many pages waits for tokens between them, for so long in all. One that took longer would
+/// say little of the time at which it was asked for.
+const LIST_TIME: Micros = Micros::from_secs(10);
+/// Of the cloud's calls, lists take one in so many at most: rentals and returns need the others.
+const LIST_SHARE: f64 = 2.0;
 
 impl Node {
     fn cloud_call(&self, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
@@ -43,6 +48,25 @@
         }
     }
 
+    /// Waits until there is a token, until then at the longest.
+    fn await_cloud_token(&self, until: Moment) {
+        let rate = self.settings.settings.cloud.rps;
+        let wait = Micros::from_secs_f64(1.0 / rate);
+        let empty = || {
+            let mut tokens = self.cloud_tokens.lock().unwrap_or_else(|e| e.into_inner());
+            tokens.available(self.now()) < 1.0
+        };
+        while empty() && self.now() < until {
+            self.os.sleep(wait.duration());
+        }
+    }
+
+    /// How often a list of so many pages may be asked for.
+    fn list_interval(&self, pages: usize) -> Micros {
+        let time = pages as f64 * LIST_SHARE / self.settings.settings.cloud.rps;
+        Micros::from_secs_f64(time)
+    }
+
     fn set_catalog(&self, catalog: &Catalog) {
         let types = Arc::new(catalog.types());
         *self.catalog.lock().unwrap_or_else(|e| e.into_inner()) = Some(types.clone());
@@ -92,6 +116,7 @@
     pub fn fleet_loop(&self) {
         let mut last_catalog: Option<Moment> = None;
         let mut saved_term = 0;
+        let mut list_pages = 1;
         loop {
             self.os.sleep(STEP);
             let now = self.now();
@@ -105,6 +130,7 @@
                 } else {
                     LIST_SOON
                 };
+                let every = every.max(self.list_interval(list_pages));
                 let due = cluster.fleet.last_list.is_none_or(|t| now - t >= every);
                 (due, lead.term)
             };
@@ -119,7 +145,7 @@
                 }
             }
             if list_due {
-                self.list_machines();
+                list_pages = self.list_machines();
             }
             self.rent();
             self.return_machines();
@@ -142,8 +168,10 @@
             .is_ok()
     }
 
-    fn list_machines(&self) {
+    /// Asks for the whole list, and takes it in; how many pages it has had.
+    fn list_machines(&self) -> usize {
         let asked = self.now();
+        let mut pages = 0;
         let mut list = Vec::new();
         let mut since = String::new();
         loop {
@@ -153,14 +181,18 @@
                 format!("since={since}&")
             };
             let path = format!("/rentals?{after}most={LIST_PAGE}");
+            pages += 1;
+            if pages > 1 {
+                self.await_cloud_token(asked + LIST_TIME);
+            }
             let Some((200, body)) = self.cloud_call("GET", &path, &[]) else {
-                return;
+                return pages;
             };
             let page: MachineList = match decode(&body) {
                 Ok(page) => page,
                 Err(e) => {
                     log::info!("malformed machine list: {e}");
-                    return;
+                    return pages;
                 }
             };
             let last = page.hosts.last().map(|h| h.name.clone());
@@ -175,6 +207,7 @@
             cluster.listed(&list, asked, now);
             self.wake(cluster);
         }
+        pages
     }
 
     fn rent(&self) {
--- a/src/links/exchange.rs
+++ b/src/links/exchange.rs
@@ -12,10 +12,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-const EVERY_MS: u64 = 800;
+const EVERY_MS: u64 = 1200;
 const ASK_TIME: Duration = Duration::from_millis(500);
 /// A peer that doesn't exchange views is asked again after this: it may have been replaced.
 const NOT_OFFERED_AGAIN: Micros = Micros::from_secs(30);
+/// A peer that didn't answer is asked again after this: the others shouldn't wait for it each time.
+const UNANSWERED_AGAIN: Micros = Micros::from_millis(1500);
 /// A link that was silent for this long is probed.
 const SILENCE: Micros = Micros::from_secs(4);
 /// A key that is never written: a transaction that only compares it costs no change.
@@ -39,6 +41,8 @@
 struct ExchangeState {
     /// Peers that don't exchange views, and when they were last asked.
     not_offered: BTreeMap<NodeName, Moment>,
+    /// Peers that didn't answer, and when they were last asked.
+    unanswered: BTreeMap<NodeName, Moment>,
     published_at: Option<Moment>,
     /// A rejected view was told in the log.
     told: bool,
@@ -81,10 +85,13 @@
             return;
         };
         let asked = self.now();
-        let refused_at = state.not_offered.get(peer);
-        if refused_at.is_some_and(|at| asked - *at < NOT_OFFERED_AGAIN) {
+        let within = |at: Option<&Moment>, span| at.is_some_and(|at| asked - *at < span);
+        if within(state.not_offered.get(peer), NOT_OFFERED_AGAIN)
+            || within(state.unanswered.get(peer), UNANSWERED_AGAIN)
+        {
             return;
         }
+        state.unanswered.remove(peer);
         let view = links.view_for(peer).encode();
         match client.exchange_views(view, ASK_TIME) {
             Exchange::View(bytes) => {
@@ -96,12 +103,14 @@
                 state.not_offered.insert(peer.clone(), asked);
                 lock(&links.views).not_offered(peer);
             }
-            Exchange::Failed => {}
+            Exchange::Failed => {
+                state.unanswered.insert(peer.clone(), asked);
+            }
         }
     }
 
-    /// Leaves this controller's view in the state service while it hears workers that the leader
-    /// may not hear, and doesn't reach the leader.
+    /// Leaves this controller's view in the state service while it doesn't reach the leader: the leader may
+    /// not hear its workers either.
     fn publish_view(&self, links: &Links, state: &mut ExchangeState) {
         let now = self.now();
         let published = links.published();
@@ -109,11 +118,11 @@
         let Some(leader) = report.leader.as_ref().filter(|l| **l != links.own) else {
             return;
         };
-        let unreached = lock(&links.tracker).state(&Link::Peer(leader.clone())) == LinkState::Down;
+        let unreached = lock(&links.tracker).state(&Link::Peer(leader.clone())) != LinkState::Up;
         let recent = state
             .published_at
             .is_some_and(|at| now - at < PUBLISH_EVERY);
-        if !unreached || recent || report.hearing.heard == 0 {
+        if !unreached || recent {
             return;
         }
         state.published_at = Some(now);
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -27,6 +27,7 @@
 use aspenreel_links::tracker::LinkTracker;
 use aspenreel_links::view::{LinkView, ViewBook};
 use aspenreel_links::workers::{Hearing, RefusedWorkers};
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -53,6 +54,8 @@
     pub sink: Arc<EvidenceSink>,
     own: NodeName,
     peers: Vec<NodeName>,
+    /// The peers' zones.
+    zones: BTreeMap<NodeName, String>,
     tracker: Mutex<LinkTracker>,
     views: Mutex<ViewBook>,
     refused: Mutex<RefusedWorkers>,
@@ -68,6 +71,9 @@
         let own = NodeName(settings.node.clone());
         let members = settings.members.iter();
         let peers: Vec<NodeName> = members.map(|m| NodeName(m.node.clone())).collect();
+        let members = settings.members.iter();
+        let zones = members.map(|m| (NodeName(m.node.clone()), m.location.clone()));
+        let zones = zones.collect();
         let site = &settings.settings;
         let window = site.workers.report().scaled(2.0) + WORKER_RETRY;
         let published = Published {
@@ -97,6 +103,7 @@
             settings: links,
             own,
             peers,
+            zones,
         }
     }
 
--- a/src/links/watch.rs
+++ b/src/links/watch.rs
@@ -10,6 +10,7 @@
 use aspenreel_links::tracker::LinkChange;
 use aspenreel_links::view::PeerView;
 use aspenreel_links::workers::Hearing;
+use std::collections::BTreeMap;
 
 const TICK: Micros = Micros::from_millis(250);
 /// How long a leader that gave the lead up lets others go first.
@@ -60,6 +61,7 @@
         };
         let (term, wall) = (lead.term, self.os.wall());
         let settled = cluster.hearing_is_settled(now);
+        let silent_beyond = links.silent_beyond(&cluster.silent_by_zone(now));
         let state_writes = lock(&links.tracker).state(&Link::StateWrites);
         // While it is new, or falls behind, it can't tell that workers are silent.
         let hearing = if settled { hearing } else { Hearing::default() };
@@ -70,6 +72,7 @@
             hearing,
             state_writes,
             views: &fresh,
+            silent_beyond: &silent_beyond,
         };
         let Some(planner) = &mut core.handover_planner else {
             return;
@@ -97,6 +100,19 @@
         changes
     }
 
+    /// The silent machines of the zones of peers that aren't reached.
+    fn silent_beyond(&self, silent: &BTreeMap<&str, u32>) -> BTreeMap<NodeName, u32> {
+        let tracker = lock(&self.tracker);
+        let mut beyond = BTreeMap::new();
+        for (peer, zone) in &self.zones {
+            let is_reached = tracker.state(&Link::Peer(peer.clone())) == LinkState::Up;
+            if let Some(count) = silent.get(zone.as_str()).filter(|_| !is_reached) {
+                beyond.insert(peer.clone(), *count);
+            }
+        }
+        beyond
+    }
+
     fn report(&self, core: &mut Core, now: Moment) -> LinkReport {
         let leads = core.acting(now).is_some();
         let leader = core.known_leader.as_ref();
--- /dev/null
+++ b/tests/model/large.rs
@@ -0,0 +1,74 @@
+//! A site with more than four thousand machines.
+
+use aspenreel_testbed::checker::JobPlan;
+use aspenreel_testbed::play::play;
+use aspenreel_testbed::world::{Setup, World};
+use std::sync::Arc;
+
+const MACHINES_IN_ZONE: usize = 2100;
+/// Of a machine's eight CPUs.
+const CPUS: f64 = 8.0;
+const VANISH: usize = 300;
+
+/// How long ago the leader last had a whole list of machines, in seconds.
+fn age_of_list(w: &Arc<World>) -> Option<f64> {
+    let leader = w.leader()?;
+    let node = w.state().nodes[leader].node.clone()?;
+    let now = node.now();
+    let core = node.core();
+    let listed = core.cluster.as_ref()?.fleet.last_list?;
+    Some((now - listed).as_secs_f64())
+}
+
+/// Notes what isn't as it should be with the broken rules: a panic would stop the model's time.
+fn require(w: &Arc<World>, holds: bool, problem: impl Fn() -> String) {
+    if !holds {
+        let text = format!("at {:.0} s: {}", w.since_start().as_secs_f64(), problem());
+        w.state().checker.broken.push(text);
+    }
+}
+
+/// All machines join and get work, the leader changes, hundreds of machines vanish at once: every task runs
+/// to its end, and no machine is forgotten.
+#[test]
+fn four_thousand_machines() {
+    let machines = ["east", "west"].map(|zone| ("small", zone, true, MACHINES_IN_ZONE));
+    let all = 2 * MACHINES_IN_ZONE;
+    let site = Setup {
+        machines: machines.to_vec(),
+        teams: vec![("a", 2.0 * CPUS * all as f64)],
+        capacity: all,
+        flags: |_| &["--half-cut-links", "--idle-ms", "3600000"],
+        ..Setup::default()
+    };
+    let ends = play(1, &site, move |w, _| {
+        // One task for each machine takes all of it.
+        let mut everywhere = JobPlan::new(1, all as u32, CPUS, 60.0);
+        everywhere.rank = "high";
+        w.submit(15.0, everywhere);
+        w.at(60.0, move |w| {
+            let busy = w.state().checker.on("run-1");
+            require(w, busy > all * 9 / 10, || {
+                format!("{busy} of {all} machines have work")
+            });
+            w.crash(w.leader_or_any(), 5.0);
+        });
+        w.at(75.0, move |w| {
+            let some = w.machines_up().into_iter().step_by(all / VANISH);
+            w.die(&some.take(VANISH).collect::<Vec<_>>());
+        });
+        // The list has nine pages, and the cloud takes five requests a second.
+        for at in [50.0, 130.0] {
+            w.at(at, |w| {
+                let age = age_of_list(w);
+                require(w, age.is_some_and(|age| age < 20.0), || {
+                    format!("last listed {age:?} s ago")
+                });
+            });
+        }
+    });
+    for end in ends {
+        assert_eq!((end.done, end.leaders), (1, 2), "{end:?}");
+        assert!(end.starts as usize >= all + VANISH, "{end:?}");
+    }
+}
--- a/tests/model/main.rs
+++ b/tests/model/main.rs
@@ -1,5 +1,6 @@
 //! Meetings of troubles, brought about in a model of several controllers (`docs/meetings.md`).
 
+mod large;
 mod links;
 mod meetings;
 mod services;
