--- a/crates/report/src/statistics.rs
+++ b/crates/report/src/statistics.rs
@@ -4,6 +4,8 @@
 
 /// Three significant figures.
 const PRECISION: u8 = 3;
+/// Larger values count as this one: more than a day in seconds.
+const LARGEST: u64 = 100_000_000;
 /// Values are kept in thousandths.
 const SCALE: f64 = 1000.0;
 
@@ -15,10 +17,10 @@
 
 impl Default for Distribution {
     fn default() -> Self {
-        let histogram = Histogram::new(PRECISION);
+        let histogram = Histogram::new_with_max(LARGEST, PRECISION);
         Distribution {
-            // Only a precision above five is refused.
-            histogram: histogram.expect("the precision is valid"),
+            // Only a precision above five, or a largest value below two, is refused.
+            histogram: histogram.expect("the bounds are valid"),
         }
     }
 }
