--- /dev/null
+++ b/crates/report/src/bin/fleet-size.rs
@@ -0,0 +1,26 @@
+//! Measures what fleets of several sizes cost their leader. Each size runs in a process of its own, so that
+//! memory is not reused between them.
+
+use aspenreel_report::fleet_size::measure;
+use clap::Parser;
+
+/// Measures a leader's memory, and its time for a heartbeat and a placement pass
+#[derive(Debug, Parser)]
+struct Options {
+    /// How many machines there are
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=100_000))]
+    machines: u32,
+}
+
+fn main() {
+    let cost = measure(Options::parse().machines);
+    println!(
+        "| {} | {} | {:.1} MB | {:.1} ms | {:.1} ms | {:.1} us |",
+        cost.machines,
+        cost.placed,
+        cost.bytes as f64 / 1e6,
+        cost.filling_pass.as_secs_f64() * 1e3,
+        cost.full_pass.as_secs_f64() * 1e3,
+        cost.heartbeat.as_secs_f64() * 1e6
+    );
+}
--- /dev/null
+++ b/crates/report/src/fleet_size.rs
@@ -0,0 +1,160 @@
+//! What a fleet of some size costs its leader: memory, and time for a heartbeat and a placement pass.
+
+use aspenreel::cluster::{Cluster, ClusterConfig};
+use aspenreel::fleet::wire::Catalog;
+use aspenreel::http::cbor::{decode, encode};
+use aspenreel::jobs::spec::Submission;
+use aspenreel::settings::TeamSettings;
+use aspenreel::time::{Micros, Moment, WallTime};
+use aspenreel::workers::wire::{Report, TaskReport, TaskStatus};
+use aspenreel_testbed::checker::JobPlan;
+use aspenreel_testbed::users::body_of;
+use ciborium::cbor;
+use std::time::{Duration, Instant};
+
+const TERM: u64 = 3;
+const TASKS_A_MACHINE: u32 = 4;
+const CPUS_A_TASK: f64 = 2.0;
+const PAGE_BYTES: usize = 4096;
+
+/// What was measured.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetCost {
+    /// How many machines there were.
+    pub machines: u32,
+    /// Memory that the process took for them, in bytes.
+    pub bytes: usize,
+    /// Attempts that the first pass decided.
+    pub placed: usize,
+    /// The pass that placed a task on every CPU.
+    pub filling_pass: Duration,
+    /// A pass with one more job, while nothing has room.
+    pub full_pass: Duration,
+    /// One heartbeat of a machine with its tasks, on average.
+    pub heartbeat: Duration,
+}
+
+/// Builds a leader with so many machines, all with room, and work for every CPU.
+pub fn measure(machines: u32) -> FleetCost {
+    let before = resident_bytes();
+    let mut cluster = Cluster::new(config(machines), TERM, at(0), 1);
+    cluster.fleet.catalog = catalog().types();
+    for number in 0..machines {
+        cluster.heartbeat(&report(number, 1, Vec::new()), at(1));
+    }
+    for (revision, write) in cluster.due_roster(false).into_iter().enumerate() {
+        cluster.written(&write, 10 + revision as u64);
+    }
+    cluster.release_seen(at(60));
+    for number in 0..machines {
+        cluster.heartbeat(&report(number, 2, Vec::new()), at(60));
+    }
+    add_job(&mut cluster, 1, machines * TASKS_A_MACHINE, 61);
+    let filling = Instant::now();
+    cluster.place(at(61));
+    let filling_pass = filling.elapsed();
+    let placed = cluster.machines.values().map(|m| m.attempts.len()).sum();
+    add_job(&mut cluster, 2, machines, 62);
+    let full = Instant::now();
+    cluster.place(at(62));
+    let full_pass = full.elapsed();
+    let reports: Vec<Report> = (0..machines)
+        .map(|number| report(number, 3, running(&cluster, number)))
+        .collect();
+    let beating = Instant::now();
+    for report in &reports {
+        cluster.heartbeat(report, at(63));
+    }
+    let heartbeat = beating.elapsed() / machines;
+    drop(reports);
+    FleetCost {
+        machines,
+        bytes: resident_bytes().saturating_sub(before),
+        placed,
+        filling_pass,
+        full_pass,
+        heartbeat,
+    }
+}
+
+fn at(seconds: u64) -> Moment {
+    Moment(365 * 24 * 3_600_000_000 + seconds * 1_000_000)
+}
+
+fn name(number: u32) -> String {
+    format!("n-{number:06}")
+}
+
+fn config(machines: u32) -> ClusterConfig {
+    let cpus = f64::from(machines) * CPUS_A_TASK * f64::from(TASKS_A_MACHINE);
+    ClusterConfig {
+        teams: vec![TeamSettings {
+            name: "a".into(),
+            cpus,
+            cpus_max: 2.0 * cpus,
+            gpus: 0.0,
+            gpus_max: 0.0,
+        }],
+        lease: Micros::from_secs(20),
+        report: Micros::from_secs(3),
+        list_lag: Micros::from_secs(5),
+        sample: 3,
+        idle: Micros::from_secs(30),
+        dear_patience: Micros::from_secs(120),
+        reserve: 0.0,
+        objectives: Vec::new(),
+        patience: Micros::from_secs(90),
+        remembered: 5000,
+        value_bytes: 8192,
+        job_bytes: 1 << 30,
+        most_machines: machines as usize,
+    }
+}
+
+fn catalog() -> Catalog {
+    let wire = cbor!({"builds" => [{"label" => "small", "cpus" => 8, "ramGb" => 32, "cacheGb" => 50,
+        "fetchGbPerS" => 1.0, "rate" => 0.4, "lowPrice" => 0.1, "startupS" => 20, "yards" => ["east"]}]});
+    decode(&encode(&wire.expect("it is CBOR"))).expect("it is a catalog")
+}
+
+fn report(number: u32, tick: u64, tasks: Vec<TaskReport>) -> Report {
+    Report {
+        machine: name(number),
+        addr: "10.1.0.1:9000".into(),
+        type_name: "small".into(),
+        zone: "east".into(),
+        spot: true,
+        session: 1,
+        tick,
+        token: TERM,
+        recall: None,
+        tasks,
+    }
+}
+
+/// A machine's tasks as its worker would report them.
+fn running(cluster: &Cluster, number: u32) -> Vec<TaskReport> {
+    let machine = &cluster.machines[&name(number)];
+    let task = |key: &(aspenreel::jobs::JobId, u32, u64)| TaskReport {
+        piece: format!("run-1/{}", key.1),
+        attempt: key.2,
+        status: TaskStatus::Running,
+        cause: None,
+        stored: None,
+    };
+    machine.attempts.keys().map(task).collect()
+}
+
+fn add_job(cluster: &mut Cluster, id: u32, tasks: u32, seconds: u64) {
+    let plan = JobPlan::new(id, tasks, CPUS_A_TASK, 60.0);
+    let submission = Submission::decode(&body_of(&plan));
+    let submission = submission.expect("it is a submission");
+    cluster.add_job(&submission, 100 + u64::from(id), at(seconds), WallTime(0));
+}
+
+/// The memory that the process holds, as the system counts it; 0 where it doesn't tell.
+fn resident_bytes() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -4,6 +4,7 @@
 //! for seeing. The figures come from the model of [`aspenreel_testbed`]: *simulated* machines, simulated
 //! time, the production code of the controllers.
 
+pub mod fleet_size;
 pub mod half_cut_links;
 pub mod html;
 pub mod plot;
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -2,7 +2,7 @@
 
 use plotters::prelude::*;
 
-const SIZE: (u32, u32) = (900, 420);
+const SIZE: (u32, u32) = (1150, 420);
 const FONT: (&str, i32) = ("sans-serif", 15);
 const COLOURS: [RGBColor; 3] = [
     RGBColor(136, 136, 136),
