Flags under the field's names with their earlier ones as aliases; rejected views are told once

Views that peers send and that don't count were counted but not told. The thread that watches links wakes others only when something is allowed again.

--- a/crates/report/src/fleet_size.rs
+++ b/crates/report/src/fleet_size.rs
@@ -100,7 +100,7 @@
         list_lag: Micros::from_secs(5),
         sample: 3,
         idle: Micros::from_secs(30),
-        dear_patience: Micros::from_secs(120),
+        on_demand_patience: Micros::from_secs(120),
         reserve: 0.0,
         objectives: Vec::new(),
         patience: Micros::from_secs(90),
--- a/crates/testbed/src/machines.rs
+++ b/crates/testbed/src/machines.rs
@@ -69,7 +69,7 @@
 const MOST_LISTED: usize = 500;
 
 /// Where a page of the machine list begins, and how many it may hold.
-fn page_of(path: &str) -> (String, usize) {
+pub fn page_of(path: &str) -> (String, usize) {
     let query = path.split_once('?').map_or("", |(_, query)| query);
     let value = |name: &str| {
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
--- a/crates/testbed/src/servers.rs
+++ b/crates/testbed/src/servers.rs
@@ -4,6 +4,7 @@
 
 use crate::checker::{Checker, Place};
 use crate::keys::{Answer, Keys, Watch};
+use crate::machines::page_of;
 use aspenreel::http::cbor::{decode, encode};
 use aspenreel::http::client::Client;
 use aspenreel::http::server::{Handler, Limits, Request, Response, serve};
@@ -405,6 +406,10 @@
     machines: Mutex<Vec<String>>,
     hires: Mutex<HashMap<String, Vec<String>>>,
     pub controllers: Mutex<Vec<(String, SocketAddr)>>,
+    /// Machines on the list beside those that were rented. They never check in.
+    pub others_listed: AtomicU64,
+    /// Whole lists that were told, to their last page.
+    pub lists_told: AtomicU64,
     /// How controllers reach new workers.
     pub worker_ways: Mutex<Option<WorkerWays>>,
 }
@@ -416,12 +421,35 @@
             machines: Mutex::default(),
             hires: Mutex::default(),
             controllers: Mutex::default(),
+            others_listed: AtomicU64::new(0),
+            lists_told: AtomicU64::new(0),
             worker_ways: Mutex::default(),
         });
         let addr = listen(cloud.clone());
         (cloud, addr)
     }
 
+    /// One page of the list.
+    fn listed(&self, path: &str) -> Result<Value, ciborium::value::Error> {
+        let (since, most) = page_of(path);
+        let mut names = self.machines.lock().unwrap().clone();
+        let others = self.others_listed.load(Ordering::Relaxed);
+        names.extend((0..others).map(|n| format!("o-{n:06}")));
+        let mut names: Vec<String> = names.into_iter().filter(|name| *name > since).collect();
+        let more = names.len() > most;
+        names.truncate(most);
+        if !more {
+            self.lists_told.fetch_add(1, Ordering::Relaxed);
+        }
+        let host = |name: &String| {
+            let status = "running";
+            cbor!({"ref" => name, "build" => "small", "yard" => "east", "loaners" => true,
+                "status" => status, "heldS" => 9.0})
+        };
+        let hosts: Result<Vec<Value>, _> = names.iter().map(host).collect();
+        cbor!({"hosts" => hosts?, "more" => more})
+    }
+
     fn boot(&self) -> String {
         let mut machines = self.machines.lock().unwrap();
         let name = format!("n-{:06}", machines.len());
@@ -474,18 +502,7 @@
                 });
                 answer(200, cbor!({"hosts" => names}))
             }
-            "/rentals" => {
-                let machines = self.machines.lock().unwrap();
-                let hosts: Vec<Value> = machines
-                    .iter()
-                    .map(|n| {
-                        cbor!({"ref" => n, "build" => "small", "yard" => "east", "loaners" => true,
-                            "status" => "running", "heldS" => 9.0})
-                        .unwrap()
-                    })
-                    .collect();
-                answer(200, cbor!({"hosts" => hosts, "more" => false}))
-            }
+            "/rentals" => answer(200, self.listed(&r.path)),
             _ => Response::new(200, encode(&cbor!({}).unwrap())),
         }
     }
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -38,7 +38,7 @@
     pub boot_s: f64,
     pub fetch_s: f64,
     pub write_rps: f64,
-    pub hold_ms: u64,
+    pub leader_lease_ms: u64,
     /// Limits of the state service to come, as the settings tell them.
     pub next: &'static str,
     /// Further flags of the controllers with these numbers.
@@ -55,7 +55,7 @@
             boot_s: 8.0,
             fetch_s: 1.5,
             write_rps: 60.0,
-            hold_ms: 8000,
+            leader_lease_ms: 8000,
             next: "value_kb = 2.0, txn_ops = 4",
             flags: |_| &[],
         }
@@ -266,8 +266,15 @@
             let skew = state.rng.i64(-5_000..5_000);
             (state.processes, seed, drift, skew)
         };
-        let hold = self.setup.hold_ms.to_string();
-        let mut words = vec!["aspenreel", "serve", "--config", "-", "--hold-ms", &hold];
+        let hold = self.setup.leader_lease_ms.to_string();
+        let mut words = vec![
+            "aspenreel",
+            "serve",
+            "--config",
+            "-",
+            "--leader-lease-ms",
+            &hold,
+        ];
         words.extend((self.setup.flags)(n));
         let Command::Serve(options) = Cli::parse_from(words).command else {
             unreachable!("the words say serve");
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,9 +2,26 @@
 //! commands.
 
 use crate::links::LinkOptions;
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, CommandFactory, FromArgMatches, Parser, Subcommand};
 use std::path::PathBuf;
 
+const LEADER_LEASE_VARIABLE: &str = "ASPENREEL_LEADER_LEASE_MS";
+const ON_DEMAND_PATIENCE_VARIABLE: &str = "ASPENREEL_ON_DEMAND_PATIENCE_MS";
+
+/// Variables that had another name in earlier versions: the option, its variable, and the earlier one.
+const EARLIER_VARIABLES: [(&str, &str, &str); 2] = [
+    (
+        "leader_lease_ms",
+        LEADER_LEASE_VARIABLE,
+        "ASPENREEL_HOLD_MS",
+    ),
+    (
+        "on_demand_patience_ms",
+        ON_DEMAND_PATIENCE_VARIABLE,
+        "ASPENREEL_DEAR_PATIENCE_MS",
+    ),
+];
+
 #[derive(Debug, Parser)]
 #[command(
     name = "aspenreel",
@@ -16,6 +33,28 @@
     pub command: Command,
 }
 
+impl Cli {
+    /// Reads the command line and the variables, those with earlier names as well. Ends the process with a
+    /// message where they are wrong.
+    pub fn from_process() -> Cli {
+        let matches = Cli::with_earlier_variables().get_matches();
+        Cli::from_arg_matches(&matches).unwrap_or_else(|e| e.exit())
+    }
+
+    /// The commands, with each variable's earlier name in place of the new one where only that is set.
+    fn with_earlier_variables() -> clap::Command {
+        Cli::command().mut_subcommand("serve", |mut serve| {
+            for (option, variable, earlier) in EARLIER_VARIABLES {
+                let is_set = |name| std::env::var_os(name).is_some();
+                if !is_set(variable) && is_set(earlier) {
+                    serve = serve.mut_arg(option, |arg| arg.env(earlier));
+                }
+            }
+            serve
+        })
+    }
+}
+
 #[derive(Debug, Subcommand)]
 pub enum Command {
     /// Run one controller until it is killed
@@ -65,11 +104,11 @@
     #[arg(long, env = "ASPENREEL_WRITE_BUDGET", default_value_t = 60,
           value_parser = clap::value_parser!(u64).range(1..=90))]
     pub write_budget: u64,
-    /// Life of the leader's lease in the state service , in milliseconds; with the workers'
+    /// Life of the leader's lease in the state service, in milliseconds; with the workers'
     /// lease it must fit into the time for a cancellation [default: 8000, or less where that needs it]
-    #[arg(long, env = "ASPENREEL_HOLD_MS",
+    #[arg(long, alias = "hold-ms", env = LEADER_LEASE_VARIABLE,
           value_parser = clap::value_parser!(u64).range(1000..=60_000))]
-    pub hold_ms: Option<u64>,
+    pub leader_lease_ms: Option<u64>,
     /// A spot machine without work is returned after this long, in milliseconds; an ordinary one
     /// after a quarter of it
     #[arg(long, env = "ASPENREEL_IDLE_MS", default_value_t = 20_000,
@@ -77,9 +116,9 @@
     pub idle_ms: u64,
     /// Work that may use spot machines gets an ordinary one only if that saves it this long a
     /// wait, in milliseconds
-    #[arg(long, env = "ASPENREEL_DEAR_PATIENCE_MS", default_value_t = 120_000,
+    #[arg(long, alias = "dear-patience-ms", env = ON_DEMAND_PATIENCE_VARIABLE, default_value_t = 120_000,
           value_parser = clap::value_parser!(u64).range(0..=86_400_000))]
-    pub dear_patience_ms: u64,
+    pub on_demand_patience_ms: u64,
     /// A job of which nothing has started for this long goes before all others with its first
     /// tasks, in milliseconds
     #[arg(long, env = "ASPENREEL_PATIENCE_MS", default_value_t = 90_000,
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -27,7 +27,7 @@
     pub sample: usize,
     pub idle: Micros,
     /// An ordinary machine is worth renting for work that may use spot ones if it saves this.
-    pub dear_patience: Micros,
+    pub on_demand_patience: Micros,
     /// Share of the CPUs in use that is kept ready where objectives tell of waiting times.
     pub reserve: f64,
     pub objectives: Vec<Objective>,
@@ -332,12 +332,14 @@
         self.permissions
     }
 
-    /// Sets which decisions may be made from now on.
-    pub fn set_permissions(&mut self, permissions: Permissions) {
+    /// Sets which decisions may be made from now on. True if something is allowed that wasn't.
+    pub fn set_permissions(&mut self, permissions: Permissions) -> bool {
+        let before = std::mem::replace(&mut self.permissions, permissions);
         // What waited for the permission is looked at again.
-        self.dirty |= permissions.assign && !self.permissions.assign;
-        self.urgent_rounds |= permissions.record && !self.permissions.record;
-        self.permissions = permissions;
+        self.dirty |= permissions.assign && !before.assign;
+        let may_record_again = permissions.record && !before.record;
+        self.urgent_rounds |= may_record_again;
+        may_record_again
     }
 
     /// Notes whether the process falls behind.
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -211,7 +211,7 @@
                     && need.fits(t.room)
                     && self.fleet.no_room.get(o).is_none_or(|t| *t <= now)
                     && existing.is_none_or(|start| {
-                        let long = up + self.config.dear_patience < start;
+                        let long = up + self.config.on_demand_patience < start;
                         up < start && (o.spot || !job.spec.spot || long)
                     })
             })
--- a/src/links/exchange.rs
+++ b/src/links/exchange.rs
@@ -44,8 +44,6 @@
     /// Peers that didn't answer, and when they were last asked.
     unanswered: BTreeMap<NodeName, Moment>,
     published_at: Option<Moment>,
-    /// A rejected view was told in the log.
-    told: bool,
 }
 
 impl Node {
@@ -97,7 +95,9 @@
             Exchange::View(bytes) => {
                 state.not_offered.remove(peer);
                 let result = lock(&links.views).take(peer, &bytes, asked);
-                tell_rejected(peer, result, &mut state.told);
+                if let Err(error) = result {
+                    links.tell_rejected(&peer.0, error);
+                }
             }
             Exchange::NotOffered => {
                 state.not_offered.insert(peer.clone(), asked);
@@ -167,14 +167,14 @@
         let Some(links) = &self.links else {
             return PeerReply::Busy;
         };
-        let Ok(view) = LinkView::decode(bytes) else {
-            lock(&links.views).reject();
-            return PeerReply::Busy;
+        let view = match links.addressed_view(bytes) {
+            Ok(view) => view,
+            Err(error) => {
+                lock(&links.views).reject();
+                links.tell_rejected("a caller", error);
+                return PeerReply::Busy;
+            }
         };
-        if view.to != links.own || !links.peers.contains(&view.from) {
-            lock(&links.views).reject();
-            return PeerReply::Busy;
-        }
         // It may have been under way for long: that it arrived is all that it proves.
         let peer = Link::Peer(view.from.clone());
         links.sink.note(peer, Outcome::Heard, self.now());
@@ -194,14 +194,16 @@
     }
 }
 
-/// The first rejected view is told in the log; all are counted.
-fn tell_rejected(peer: &NodeName, result: Result<(), ViewError>, told: &mut bool) {
-    match result {
-        Ok(()) | Err(ViewError::Late) => {}
-        Err(error) => {
-            if !std::mem::replace(told, true) {
-                log::warn!("the view of {peer} has no effect: {error}");
-            }
+impl Links {
+    /// Reads a view that a peer sent to this controller.
+    fn addressed_view(&self, bytes: &[u8]) -> Result<LinkView, ViewError> {
+        let view = LinkView::decode(bytes)?;
+        if view.to != self.own {
+            return Err(ViewError::WrongReceiver);
+        }
+        if !self.peers.contains(&view.from) {
+            return Err(ViewError::WrongSender);
         }
+        Ok(view)
     }
 }
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -27,10 +27,10 @@
 use aspenreel_links::report::LinkReport;
 use aspenreel_links::settings::LinkSettings;
 use aspenreel_links::tracker::LinkTracker;
-use aspenreel_links::view::{LinkView, ViewBook};
+use aspenreel_links::view::{LinkView, ViewBook, ViewError};
 use aspenreel_links::workers::{Hearing, RefusedWorkers};
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// A view older than this says nothing any more.
@@ -65,6 +65,8 @@
     /// The time of day at which this process began.
     process: u64,
     sequence: AtomicU64,
+    /// A view without effect was told in the log.
+    told_rejected: AtomicBool,
 }
 
 impl Links {
@@ -102,6 +104,7 @@
             sink: Arc::default(),
             process: wall.0,
             sequence: AtomicU64::new(0),
+            told_rejected: AtomicBool::new(false),
             settings: links,
             own,
             peers,
@@ -124,6 +127,13 @@
         self.published.load_full()
     }
 
+    /// Tells in the log that a view had no effect: the first time only, all are counted.
+    fn tell_rejected(&self, sender: &str, error: ViewError) {
+        if error != ViewError::Late && !self.told_rejected.swap(true, Ordering::Relaxed) {
+            log::warn!("the view of {sender} has no effect: {error}");
+        }
+    }
+
     /// This controller's view, made for one peer.
     fn view_for(&self, peer: &NodeName) -> LinkView {
         let published = self.published();
--- a/src/links/watch.rs
+++ b/src/links/watch.rs
@@ -41,17 +41,21 @@
         });
         let changes = links.drain(hearing, now);
         let permissions = lock(&links.tracker).permissions();
-        if let Some(cluster) = &mut core.cluster {
-            cluster.set_permissions(permissions);
-        }
+        let reopened = match &mut core.cluster {
+            Some(cluster) => cluster.set_permissions(permissions),
+            None => false,
+        };
         self.consider_handover(links, &mut core, hearing, now);
         let report = links.report(&mut core, now);
+        let stepping_down = core.step_down;
         drop(core);
         links.publish(report);
         for change in changes {
             tell(&change);
         }
-        self.changed.notify_all();
+        if reopened || stepping_down {
+            self.changed.notify_all();
+        }
     }
 
     /// Hands the lead over if a peer has been better placed for long enough.
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,13 +5,12 @@
 use aspenreel::os::System;
 use aspenreel::settings::Settings;
 use aspenreel::state_store::Store;
-use clap::Parser;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
 fn main() -> ExitCode {
-    let result = match Cli::parse().command {
+    let result = match Cli::from_process().command {
         Command::Serve(options) => serve(options),
         Command::AllowEarlierVersions(options) => roll_back(options),
         Command::Links(options) => return show_links(&options),
--- a/src/node.rs
+++ b/src/node.rs
@@ -115,7 +115,7 @@
         options: ServeOptions,
         os: Arc<dyn Os>,
     ) -> Result<Node, SettingsError> {
-        let asked = options.hold_ms.map(Micros::from_millis);
+        let asked = options.leader_lease_ms.map(Micros::from_millis);
         let lease_life = settings.leader_lease(asked)?;
         let links = options.links.settings()?;
         let links = links.map(|links| Arc::new(Links::new(&settings, links, os.wall())));
@@ -187,7 +187,7 @@
             list_lag: Micros::from_secs_f64(site.cloud.list_lag_s),
             sample: self.options.sample as usize,
             idle: Micros::from_millis(self.options.idle_ms),
-            dear_patience: Micros::from_millis(self.options.dear_patience_ms),
+            on_demand_patience: Micros::from_millis(self.options.on_demand_patience_ms),
             reserve: self.options.reserve as f64 / 100.0,
             objectives: site.objectives.clone(),
             patience: Micros::from_millis(self.options.patience_ms),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -17,16 +17,16 @@
     Parse(String),
     #[error("settings: field `{field}`: {problem}")]
     Field { field: String, problem: String },
-    #[error("--hold-ms: {0}")]
-    Hold(String),
+    #[error("--leader-lease-ms: {0}")]
+    LeaderLease(String),
 }
 
 /// Added to the times of a cancellation: timers, the ways of the last answer and of the last order.
 const CANCEL_MARGIN: Micros = Micros::from_millis(1000);
 /// The life of the leader's lease, unless something else is asked for or needed.
-const USUAL_HOLD: Micros = Micros::from_millis(8000);
+const USUAL_LEASE: Micros = Micros::from_millis(8000);
 /// The shortest life of the leader's lease that its flag takes.
-const SHORTEST_HOLD: Micros = Micros::from_millis(1000);
+const SHORTEST_LEASE: Micros = Micros::from_millis(1000);
 
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
@@ -294,8 +294,8 @@
         let w = &self.settings.workers;
         let cancel = Micros::from_secs_f64(w.cancel_s);
         let most = cancel.saturating_sub(at_most(w.lease()) + CANCEL_MARGIN);
-        if most < SHORTEST_HOLD {
-            let left = cancel.saturating_sub(CANCEL_MARGIN + SHORTEST_HOLD);
+        if most < SHORTEST_LEASE {
+            let left = cancel.saturating_sub(CANCEL_MARGIN + SHORTEST_LEASE);
             let most = (at_least(left).as_secs_f64() * 1000.0).floor() / 1000.0;
             return Err(SettingsError::Field {
                 field: "settings.workers.lease_s".into(),
@@ -306,7 +306,7 @@
             });
         }
         match asked {
-            Some(asked) if asked > most => Err(SettingsError::Hold(format!(
+            Some(asked) if asked > most => Err(SettingsError::LeaderLease(format!(
                 "must be at most {} for a lease_s of {} and a cancel_s of {}, is {}: tasks of a cancelled job could outlast it",
                 most.0 / 1000,
                 w.lease_s,
@@ -314,7 +314,7 @@
                 asked.0 / 1000
             ))),
             Some(asked) => Ok(asked),
-            None => Ok(USUAL_HOLD.min(most)),
+            None => Ok(USUAL_LEASE.min(most)),
         }
     }
 
--- a/tests/common/trace.rs
+++ b/tests/common/trace.rs
@@ -105,7 +105,7 @@
             list_lag: Micros::from_secs(5),
             sample: 3,
             idle: Micros::from_secs(30),
-            dear_patience: Micros::from_secs(120),
+            on_demand_patience: Micros::from_secs(120),
             reserve: 0.0,
             objectives: Vec::new(),
             patience: Micros::from_secs(90),
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -93,7 +93,7 @@
             list_lag: Micros::from_secs(8),
             sample: 3,
             idle: Micros::from_secs(20),
-            dear_patience: Micros::from_secs(120),
+            on_demand_patience: Micros::from_secs(120),
             reserve: 0.5,
             objectives: vec![
                 objective("wait", "urgent", 25.0),
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -390,3 +390,19 @@
     assert!(matches!(now, Commit::Done { .. }));
     assert_eq!(state.data("done/run-1/0"), Some(Value::Text("new".into())));
 }
+
+/// A machine list of nine pages comes through, again and again.
+#[test]
+fn a_list_of_thousands_of_machines() {
+    let (_, cloud, nodes) = serving("long-list");
+    cloud.others_listed.store(4200, Ordering::Relaxed);
+    cloud.lists_told.store(0, Ordering::Relaxed);
+    let deadline = Instant::now() + Duration::from_secs(120);
+    while cloud.lists_told.load(Ordering::Relaxed) < 3 {
+        assert!(Instant::now() < deadline, "the list isn't read to its end");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    // It goes on serving beside that.
+    nodes.until(0, "POST", "/work", &job("run-1", 2, 1.0), |s, _| s == 201);
+    nodes.until_status(1, "run-1", "done");
+}
--- a/tests/service/links_command.rs
+++ b/tests/service/links_command.rs
@@ -1,6 +1,11 @@
 //! `aspenreel links`: what it prints and how it exits, whatever it finds at the other ends.
 
 use crate::nodes::{Nodes, leader, newest, serving, spawn, spawn_watching};
+use aspenreel::leadership::peer::{PeerLink, PeerReply, PeerRequest, TcpPeer};
+use aspenreel::settings::Settings;
+use aspenreel_links::monitor::LinkState;
+use aspenreel_links::view::LinkView;
+use aspenreel_links::workers::Hearing;
 use serde_json::Value;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
@@ -165,6 +170,53 @@
     assert!(missing.stdout.is_empty());
 }
 
+/// Views that are malformed, too large or for somebody else are refused and counted, and move nothing.
+#[test]
+fn views_that_do_not_count_move_nothing() {
+    let (state, nodes) = watching("links-views");
+    settled(&nodes.configs[0]);
+    let term = state.data("term");
+    let settings = Settings::load(&nodes.configs[0]).unwrap();
+    let peer = TcpPeer::new(settings.peer_listen);
+    let hears_all = |from: &str, to: &str| LinkView {
+        from: from.into(),
+        to: to.into(),
+        process: u64::MAX,
+        sequence: u64::MAX,
+        term: u64::MAX,
+        leads: true,
+        state_reads: LinkState::Up,
+        state_writes: LinkState::Up,
+        hearing: Hearing {
+            heard: u32::MAX,
+            known: 1,
+        },
+    };
+    let views = [
+        Vec::new(),
+        vec![1; 40],
+        vec![1; 60_000],
+        hears_all("n-1", "n-2").encode(),
+        hears_all("n-9", "n-0").encode(),
+    ];
+    let count = views.len();
+    for view in views {
+        let reply = peer.ask(&PeerRequest::Links { view }, Duration::from_secs(5));
+        assert_eq!(reply.unwrap(), PeerReply::Busy);
+    }
+    // One that is in order is answered with n-0's own, and has no more effect on what it believes.
+    let view = hears_all("n-1", "n-0").encode();
+    let reply = peer.ask(&PeerRequest::Links { view }, Duration::from_secs(5));
+    assert!(matches!(reply, Ok(PeerReply::Links { .. })), "{reply:?}");
+    let deadline = Instant::now() + Duration::from_secs(60);
+    let rejected = || settled(&nodes.configs[0])[0]["report"]["rejected_views"].as_u64();
+    while rejected() != Some(count as u64) {
+        assert!(Instant::now() < deadline, "{:?}", rejected());
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(state.data("term"), term);
+}
+
 /// Settings of links that contradict each other, or have no effect, end a controller before it listens.
 #[test]
 fn contradictory_flags_are_told_in_one_line() {
@@ -190,7 +242,7 @@
             "1999",
         ]),
         refused(&["--half-cut-links", "--handover-pause-ms", "130000"]),
-        refused(&["--half-cut-links", "--hold-ms", "8000"]),
+        refused(&["--half-cut-links", "--leader-lease-ms", "8000"]),
     ];
     insta::assert_snapshot!(lines.concat());
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -117,6 +117,45 @@
     assert_eq!(code, Some(0));
 }
 
+/// Flags and variables that were renamed go on working under their earlier names; the new one wins.
+#[test]
+fn earlier_names_of_flags_and_variables() {
+    let path = std::env::temp_dir().join(format!("aspenreel-{}-names.toml", std::process::id()));
+    std::fs::write(&path, GOOD).unwrap();
+    let lease_asked = |flags: &[&str], variables: &[(&str, &str)]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_aspenreel"))
+            .arg("serve")
+            .args(flags)
+            .arg("--config")
+            .arg(&path)
+            .envs(variables.iter().copied())
+            .output()
+            .unwrap();
+        assert_eq!(output.status.code(), Some(2));
+        let line = String::from_utf8(output.stderr).unwrap();
+        let (_, rest) = line.split_once(", is ").unwrap();
+        rest.split(':').next().unwrap().to_string()
+    };
+    let earlier = ("ASPENREEL_HOLD_MS", "30001");
+    let newer = ("ASPENREEL_LEADER_LEASE_MS", "30002");
+    assert_eq!(lease_asked(&["--hold-ms", "30000"], &[]), "30000");
+    assert_eq!(lease_asked(&["--leader-lease-ms", "30000"], &[]), "30000");
+    assert_eq!(lease_asked(&[], &[earlier]), "30001");
+    assert_eq!(lease_asked(&[], &[earlier, newer]), "30002");
+    assert_eq!(
+        lease_asked(&["--hold-ms", "30000"], &[earlier, newer]),
+        "30000"
+    );
+    let patience = Command::new(env!("CARGO_BIN_EXE_aspenreel"))
+        .args(["serve", "--dear-patience-ms", "x", "--config"])
+        .arg(&path)
+        .output()
+        .unwrap();
+    let told = String::from_utf8(patience.stderr).unwrap();
+    assert!(told.contains("--on-demand-patience-ms"), "{told}");
+    std::fs::remove_file(&path).unwrap();
+}
+
 /// A cancellation's time is arithmetic: the lease of a leader that was refused alone, then the lease
 /// of a worker that went on reporting to it. Settings and flags with which the sum could be above
 /// `cancel_s` end the process; the largest value that works is named, and works.
