--- /dev/null
+++ b/crates/testbed/src/cloud.rs
@@ -0,0 +1,161 @@
+//! The cloud, as the protocol's page tells of it: its catalog, rentals, returns and lists.
+
+use crate::machines::{LISTED_AFTER_DEATH_S, Machine};
+use crate::sched::{Time, secs};
+use crate::world::{CLOUD_RPS, World};
+use aspenreel::http::cbor::{decode, encode};
+use aspenreel::http::server::Request;
+use ciborium::{Value, cbor};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Machines on one page of the list, at most.
+const MOST_LISTED: usize = 500;
+
+/// Where a page of the machine list begins, and how many it may hold.
+pub fn page_of(path: &str) -> (String, usize) {
+    let query = path.split_once('?').map_or("", |(_, query)| query);
+    let value = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    };
+    let since = value("since").unwrap_or("").to_string();
+    let most = value("most")
+        .and_then(|m| m.parse().ok())
+        .unwrap_or(MOST_LISTED);
+    (since, most.min(MOST_LISTED))
+}
+
+#[derive(Default)]
+pub struct Cloud {
+    pub(crate) made: u32,
+    hires: BTreeMap<String, Vec<String>>,
+    /// Requests that count against the limit, and when that was worked out.
+    requests: f64,
+    counted_at: Time,
+    pub out_until: Time,
+    /// Machines come up within two seconds until then.
+    pub quick_until: Time,
+}
+
+impl World {
+    /// The cloud's answer to a request.
+    pub fn cloud_asked(self: &Arc<Self>, r: &Request) -> (u16, Vec<u8>) {
+        let now = self.now();
+        if self.state().cloud.out_until > now {
+            return (503, encode(&cbor!({"error" => "trouble"}).unwrap()));
+        }
+        if !self.cloud_has_room(now) {
+            return (429, Vec::new());
+        }
+        let answer = |v: Result<Value, ciborium::value::Error>| (200, encode(&v.unwrap()));
+        match r.path.split('?').next().unwrap() {
+            "/catalog" => answer(cbor!({"builds" => [
+                {"label" => "small", "cpus" => 8, "ramGb" => 32, "cacheGb" => 50,
+                 "fetchGbPerS" => 1.0, "rate" => 0.4, "lowPrice" => 0.1,
+                 "startupS" => self.setup.boot_s, "yards" => ["east", "west"]}]})),
+            "/rentals" if r.method == "POST" => self.rented(&r.body),
+            "/rentals/return" => {
+                #[derive(Deserialize)]
+                struct Names {
+                    hosts: Vec<String>,
+                }
+                let names: Names = decode(&r.body).unwrap();
+                for name in &names.hosts {
+                    self.remove_machine(name, |m, now| m.gone_at = Some(now));
+                }
+                answer(cbor!({"hosts" => names.hosts}))
+            }
+            _ => answer(self.listed(&r.path)),
+        }
+    }
+
+    /// One page of the machine list, as it was some seconds ago.
+    fn listed(&self, path: &str) -> Result<Value, ciborium::value::Error> {
+        let lag = self.random(3_000_000..6_000_000);
+        let then = self.now().saturating_sub(lag);
+        let (since, most) = page_of(path);
+        let state = self.state();
+        let listed = |m: &&Machine| {
+            let died = m
+                .died_at
+                .is_none_or(|t| t + secs(LISTED_AFTER_DEATH_S) > then);
+            m.created <= then && m.gone_at.is_none_or(|t| t > then) && died
+        };
+        let mut hosts: Vec<Value> = state
+            .machines
+            .values()
+            .filter(|m| m.name > since)
+            .filter(listed)
+            .take(most + 1)
+            .map(|m| {
+                let status = if m.up_at <= then {
+                    "running"
+                } else {
+                    "starting"
+                };
+                cbor!({"ref" => &m.name, "build" => &m.type_name, "yard" => &m.zone,
+                    "loaners" => m.spot, "addr" => m.addr.to_string(), "status" => status,
+                    "heldS" => (then - m.created) as f64 / 1e6})
+                .unwrap()
+            })
+            .collect();
+        let more = hosts.len() > most;
+        hosts.truncate(most);
+        cbor!({"hosts" => hosts, "more" => more})
+    }
+
+    /// Whether the cloud takes one more request now: so many a second, and bursts of two seconds' worth.
+    fn cloud_has_room(&self, now: Time) -> bool {
+        let mut state = self.state();
+        let cloud = &mut state.cloud;
+        let gained = (now - cloud.counted_at) as f64 / 1e6 * CLOUD_RPS;
+        cloud.requests = (cloud.requests - gained).max(0.0);
+        cloud.counted_at = now;
+        let room = cloud.requests + 1.0 <= 2.0 * CLOUD_RPS;
+        if room {
+            cloud.requests += 1.0;
+        }
+        room
+    }
+
+    fn rented(self: &Arc<Self>, body: &[u8]) -> (u16, Vec<u8>) {
+        #[derive(Deserialize)]
+        struct Rent {
+            hire: String,
+            build: String,
+            yard: String,
+            loaners: bool,
+            count: usize,
+        }
+        let rent: Rent = decode(body).unwrap();
+        let known = self.state().cloud.hires.get(&rent.hire).cloned();
+        let names = match known {
+            Some(names) => names,
+            None => {
+                let there = {
+                    let state = self.state();
+                    let alike = |m: &&Machine| m.alive() && m.zone == rent.yard;
+                    state.machines.values().filter(alike).count()
+                };
+                let count = rent.count.min(self.setup.capacity.saturating_sub(there));
+                if count == 0 {
+                    return (503, encode(&cbor!({"error" => "no capacity"}).unwrap()));
+                }
+                let quick = self.state().cloud.quick_until > self.now();
+                let boot = secs(if quick { 1.0 } else { self.setup.boot_s });
+                let names: Vec<String> = (0..count)
+                    .map(|_| {
+                        let after = self.random(boot / 2..boot * 3 / 2);
+                        self.boot(&rent.build, &rent.yard, rent.loaners, after)
+                    })
+                    .collect();
+                let mut state = self.state();
+                state.cloud.hires.insert(rent.hire, names.clone());
+                names
+            }
+        };
+        (200, encode(&cbor!({"hosts" => names}).unwrap()))
+    }
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -4,11 +4,12 @@
 //!   [`servers`] speaks to real processes over loopback.
 //! - Relays that cut single directions between real processes ([`relay`]).
 //! - A model of whole clusters on simulated time: the production code of several controllers, with all of
-//!   its threads, in one process ([`world`], [`sched`], [`net`], [`machines`], [`users`]).
+//!   its threads, in one process ([`world`], [`sched`], [`net`], [`machines`], [`cloud`], [`users`]).
 //! - An independent checker of the protocol's rules ([`checker`]), which knows only what users were
 //!   told and what is on machines.
 
 pub mod checker;
+pub mod cloud;
 pub mod cuts;
 pub mod keys;
 pub mod log;
--- a/crates/testbed/src/servers.rs
+++ b/crates/testbed/src/servers.rs
@@ -3,8 +3,9 @@
 //! Written from the published protocol, as small as the tests allow.
 
 use crate::checker::{Checker, Place};
+use crate::cloud::page_of;
 use crate::keys::{Answer, Keys, Watch};
-use crate::machines::page_of;
+use crate::machines::foreman_of;
 use aspenreel::http::cbor::{decode, encode};
 use aspenreel::http::client::Client;
 use aspenreel::http::server::{Handler, Limits, Request, Response, serve};
@@ -360,13 +361,7 @@
                     self.execute(&orders.orders);
                 }
                 Ok((421, body)) => {
-                    #[derive(Deserialize)]
-                    struct Hint {
-                        foreman: Option<String>,
-                    }
-                    let hint: Hint = decode(&body).unwrap();
-                    let named = hint
-                        .foreman
+                    let named = foreman_of(&body)
                         .and_then(|f| controllers.iter().position(|(n, _)| *n == f));
                     at = named.unwrap_or((at + 1) % controllers.len());
                 }
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -1,9 +1,10 @@
 //! Several controllers, and all that they talk to, in one process on simulated time.
 
 use crate::checker::{Checker, JobPlan};
+use crate::cloud::Cloud;
 use crate::cuts::Cuts;
 use crate::keys::Keys;
-use crate::machines::{Cloud, Machine};
+use crate::machines::Machine;
 use crate::net::SimOs;
 use crate::sched::{Sched, Time, lock, secs};
 use crate::users::UserJob;
