--- a/crates/links/src/view.rs
+++ b/crates/links/src/view.rs
@@ -107,21 +107,34 @@
         view: LinkView,
         /// When the question that it answers was sent.
         asked: Moment,
+        /// Until when it is believed.
+        believed_until: Moment,
     },
 }
 
+/// How long views are believed, by the way that they came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BelievedFor {
+    /// Those that a peer answered with. Shorter than workers are silent before it shows: else a view from
+    /// before a cut would speak for a peer that is beyond it.
+    pub direct: Micros,
+    /// Those from the state service. A peer leaves them there only once it doesn't reach the leader, so they
+    /// are younger than the cut; they come every few seconds, and are read as often.
+    pub stored: Micros,
+}
+
 /// The views of all peers.
 #[derive(Debug)]
 pub struct ViewBook {
     own: NodeName,
     peers: BTreeMap<NodeName, PeerView>,
     rejected: u64,
-    believed_for: Micros,
+    believed_for: BelievedFor,
 }
 
 impl ViewBook {
-    /// An empty book; a view is believed for so long.
-    pub fn new(own: NodeName, peers: &[NodeName], believed_for: Micros) -> ViewBook {
+    /// An empty book.
+    pub fn new(own: NodeName, peers: &[NodeName], believed_for: BelievedFor) -> ViewBook {
         let peers = peers
             .iter()
             .map(|name| (name.clone(), PeerView::Unheard))
@@ -136,10 +149,34 @@
 
     /// Takes in a peer's answer. On an error nothing is changed but the count of rejected views.
     pub fn take(&mut self, peer: &NodeName, bytes: &[u8], asked: Moment) -> Result<(), ViewError> {
+        self.take_until(peer, bytes, asked, asked + self.believed_for.direct)
+    }
+
+    /// Takes in a view that a peer left in the state service, true at `at`.
+    pub fn take_stored(
+        &mut self,
+        peer: &NodeName,
+        bytes: &[u8],
+        at: Moment,
+    ) -> Result<(), ViewError> {
+        self.take_until(peer, bytes, at, at + self.believed_for.stored)
+    }
+
+    fn take_until(
+        &mut self,
+        peer: &NodeName,
+        bytes: &[u8],
+        asked: Moment,
+        believed_until: Moment,
+    ) -> Result<(), ViewError> {
         let result = self.check(peer, bytes);
         match result {
             Ok(view) => {
-                let known = PeerView::Known { view, asked };
+                let known = PeerView::Known {
+                    view,
+                    asked,
+                    believed_until,
+                };
                 self.peers.insert(peer.clone(), known);
                 Ok(())
             }
@@ -162,11 +199,19 @@
 
     /// The views that are young enough to be believed.
     pub fn fresh(&self, now: Moment) -> Vec<&LinkView> {
-        let fresh = |peer| match peer {
-            &PeerView::Known { ref view, asked } if now - asked < self.believed_for => Some(view),
-            _ => None,
-        };
-        self.peers.values().filter_map(fresh).collect()
+        let mut fresh = Vec::new();
+        for peer in self.peers.values() {
+            if let PeerView::Known {
+                view,
+                believed_until,
+                ..
+            } = peer
+                && now < *believed_until
+            {
+                fresh.push(view);
+            }
+        }
+        fresh
     }
 
     /// Some peer answers without exchanging views: of it nothing can be known.
--- a/crates/links/tests/decisions.rs
+++ b/crates/links/tests/decisions.rs
@@ -7,7 +7,7 @@
 use aspenreel_links::report::{LinkReport, ReportError};
 use aspenreel_links::settings::LinkSettings;
 use aspenreel_links::time::{Micros, Moment, WallTime};
-use aspenreel_links::view::{LinkView, MAX_VIEW_BYTES, PeerView, ViewBook, ViewError};
+use aspenreel_links::view::{BelievedFor, LinkView, MAX_VIEW_BYTES, PeerView, ViewBook, ViewError};
 use aspenreel_links::workers::Hearing;
 use std::collections::BTreeMap;
 
@@ -325,7 +325,11 @@
 
 fn book() -> ViewBook {
     let peers = [name("n-1"), name("n-2")];
-    ViewBook::new(name("n-0"), &peers, Micros::from_secs(4))
+    let believed_for = BelievedFor {
+        direct: Micros::from_secs(4),
+        stored: Micros::from_secs(8),
+    };
+    ViewBook::new(name("n-0"), &peers, believed_for)
 }
 
 #[test]
@@ -389,6 +393,15 @@
     book.take(&name("n-1"), &encoded, at(1000)).unwrap();
     assert_eq!(book.fresh(at(4999)).len(), 1);
     assert_eq!(book.fresh(at(5000)).len(), 0);
+    // Those from the state service come seldom, and never from before a cut.
+    let newer = LinkView {
+        sequence: 2,
+        ..view("n-1", 3)
+    };
+    let taken = book.take_stored(&name("n-1"), &newer.encode(), at(6000));
+    assert_eq!(taken, Ok(()));
+    assert_eq!(book.fresh(at(13_999)).len(), 1);
+    assert_eq!(book.fresh(at(14_000)).len(), 0);
 }
 
 #[test]
--- a/src/links/exchange.rs
+++ b/src/links/exchange.rs
@@ -158,7 +158,7 @@
             let asked = Moment(now.0.saturating_sub(age.0));
             let peer = stored.view.from.clone();
             // One that is known already, or late, has no effect.
-            let _ = lock(&links.views).take(&peer, &stored.view.encode(), asked);
+            let _ = lock(&links.views).take_stored(&peer, &stored.view.encode(), asked);
         }
     }
 
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -27,15 +27,18 @@
 use aspenreel_links::report::LinkReport;
 use aspenreel_links::settings::LinkSettings;
 use aspenreel_links::tracker::LinkTracker;
-use aspenreel_links::view::{LinkView, ViewBook, ViewError};
+use aspenreel_links::view::{BelievedFor, LinkView, ViewBook, ViewError};
 use aspenreel_links::workers::{Hearing, RefusedWorkers};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// A view older than this says nothing any more. Through the state service one comes every 2 to 3 s, and is
-/// read as often.
-const VIEW_BELIEVED_FOR: Micros = Micros::from_secs(8);
+/// A direct view is believed for so many report intervals: less than the silence of workers takes to show.
+const DIRECT_VIEW_REPORTS: f64 = 4.0 / 3.0;
+/// Peers are asked about every second.
+const SHORTEST_BELIEF: Micros = Micros::from_millis(1500);
+/// Through the state service a view comes every 2 to 3 s, and is read as often.
+const STORED_VIEW_BELIEVED_FOR: Micros = Micros::from_secs(8);
 /// A worker gives a controller up after 4 s, and waits 1 s before it tries the next.
 const WORKER_RETRY: Micros = Micros::from_secs(6);
 
@@ -81,6 +84,11 @@
         let zones = zones.collect();
         let site = &settings.settings;
         let window = site.workers.report().scaled(2.0) + WORKER_RETRY;
+        let direct = site.workers.report().scaled(DIRECT_VIEW_REPORTS);
+        let believed_for = BelievedFor {
+            direct: direct.max(SHORTEST_BELIEF),
+            stored: STORED_VIEW_BELIEVED_FOR,
+        };
         let published = Published {
             report: LinkReport {
                 node: own.clone(),
@@ -99,7 +107,7 @@
         };
         Links {
             tracker: Mutex::new(LinkTracker::new(links.clone(), &peers)),
-            views: Mutex::new(ViewBook::new(own.clone(), &peers, VIEW_BELIEVED_FOR)),
+            views: Mutex::new(ViewBook::new(own.clone(), &peers, believed_for)),
             refused: Mutex::new(RefusedWorkers::new(site.quota.most_machines(), window)),
             published: ArcSwap::from_pointee(published),
             sink: Arc::default(),
--- a/src/links/watch.rs
+++ b/src/links/watch.rs
@@ -158,7 +158,7 @@
     let (offers_views, known) = match view {
         PeerView::Unheard => (true, None),
         PeerView::NotOffered => (false, None),
-        PeerView::Known { view, asked } => (true, Some((view, *asked))),
+        PeerView::Known { view, asked, .. } => (true, Some((view, *asked))),
     };
     PeerRow {
         peer: peer.clone(),
