Cuts in the moment of a write, between an outcome and its record, and each pair of directions

Need: drawn moments hit these only by chance. The model now cuts a way of the leader within 0.1 ms of a claim's or done set's write, and half a second after a task's end; and each of the 28 pairs of the leader's directions.

--- a/crates/testbed/src/checker.rs
+++ b/crates/testbed/src/checker.rs
@@ -345,6 +345,11 @@
         self.jobs.get(id).is_some_and(full)
     }
 
+    /// Tasks of all jobs that ended well.
+    pub fn tasks_done(&self) -> usize {
+        self.jobs.values().map(|f| f.done.len()).sum()
+    }
+
     pub fn ended(&self, id: &str) -> Option<&str> {
         let (state, _) = self.jobs.get(id)?.ended.as_ref()?;
         Some(state)
--- a/tests/model/links.rs
+++ b/tests/model/links.rs
@@ -60,6 +60,111 @@
     }
 }
 
+/// Each pair of directed links of the leader is cut at once.
+#[test]
+fn each_pair_of_directions_of_the_leader() {
+    let ways = Way::all_of(0, 3).len();
+    let pairs = (0..ways).flat_map(|one| (one + 1..ways).map(move |other| (one, other)));
+    for (one, other) in pairs {
+        let ends = play(2, &watching(3), |w, rng| {
+            work(w, rng);
+            let span = LEASE_S * (0.4 + 1.2 * rng.f64());
+            w.at(20.0 + rng.f64() * 10.0, move |w| {
+                let ways = Way::all_of(leader(w), 3);
+                w.cut_way(ways[one], span);
+                w.cut_way(ways[other], span);
+            });
+        });
+        for end in ends {
+            assert!(end.done > 40 && end.leaders <= 5, "{one} {other}: {end:?}");
+        }
+    }
+}
+
+/// One way of the controller that leads.
+type WayOf = fn(End) -> Way;
+
+/// How many records with this prefix there are, and the newest revision among them.
+fn newest(w: &Arc<World>, prefix: &str) -> (usize, u64) {
+    let state = w.state();
+    let rows = state
+        .keys
+        .rows
+        .iter()
+        .filter(|(key, _)| key.starts_with(prefix));
+    let revisions: Vec<u64> = rows.map(|(_, (_, revision, _))| *revision).collect();
+    (revisions.len(), revisions.into_iter().max().unwrap_or(0))
+}
+
+/// Cuts a way of the leader in the moment in which a record with this prefix is next written.
+fn cut_at_next_write(w: &Arc<World>, prefix: &'static str, seen: (usize, u64), way: WayOf) {
+    if newest(w, prefix) != seen {
+        let own = End::Node(leader(w));
+        return w.cut_way(way(own), 1.2 * LEASE_S);
+    }
+    // Ways through the model's network take 200 us at least.
+    w.after(100, move |w| cut_at_next_write(w, prefix, seen, way));
+}
+
+/// The cut falls between a claim's write and its answer, between the claim and the start, between the
+/// write of a done set or final state and its answer, and between that and `clear`.
+#[test]
+fn cuts_between_a_write_and_what_follows_it() {
+    let cases: [(&'static str, WayOf); 4] = [
+        ("claims/", |own| Way::new(End::State, own)),
+        ("claims/", |own| Way::new(own, End::Workers)),
+        ("done/", |own| Way::new(End::State, own)),
+        ("done/", |own| Way::new(own, End::Workers)),
+    ];
+    for (prefix, way) in cases {
+        let ends = play(6, &watching(3), move |w, rng| {
+            work(w, rng);
+            let at = 20.0 + rng.f64() * 10.0;
+            w.at(at, move |w| {
+                cut_at_next_write(w, prefix, newest(w, prefix), way);
+                w.trouble(3.0 * LEASE_S);
+            });
+        });
+        for end in ends {
+            assert!(end.done > 40 && end.leaders <= 4, "{prefix}: {end:?}");
+        }
+    }
+}
+
+/// A task ends, its report arrives, and the leader loses the state service before the outcome is on record.
+#[test]
+fn cuts_between_an_outcome_and_its_record() {
+    for to_state in [true, false] {
+        let ends = play(6, &watching(3), move |w, rng| {
+            work(w, rng);
+            let at = 20.0 + rng.f64() * 10.0;
+            w.at(at, move |w| {
+                let seen = w.state().checker.tasks_done();
+                cut_at_next_outcome(w, seen, to_state);
+                w.trouble(3.0 * LEASE_S);
+            });
+        });
+        for end in ends {
+            assert!(end.done > 40 && end.leaders <= 4, "{end:?}");
+        }
+    }
+}
+
+fn cut_at_next_outcome(w: &Arc<World>, seen: usize, to_state: bool) {
+    if w.state().checker.tasks_done() == seen {
+        return w.after(500, move |w| cut_at_next_outcome(w, seen, to_state));
+    }
+    // The worker reports within half a second.
+    w.after(520_000, move |w| {
+        let own = End::Node(leader(w));
+        let way = match to_state {
+            true => Way::new(own, End::State),
+            false => Way::new(End::State, own),
+        };
+        w.cut_way(way, 1.2 * LEASE_S);
+    });
+}
+
 /// Two directed links at once: of the leader, or one of the leader's and one of another node.
 #[test]
 fn pairs_of_directions() {
