--- a/tests/common/nodes.rs
+++ b/tests/common/nodes.rs
@@ -213,7 +213,8 @@
 
 fn spawn_with(program: &Path, config: &Path, flags: &[&str]) -> Child {
     Command::new(program)
-        .args(["serve", "--leader-lease-ms", "2000", "--round-ms", "200"])
+        // Under the name that earlier versions know as well.
+        .args(["serve", "--hold-ms", "2000", "--round-ms", "200"])
         .args(flags)
         .arg("--config")
         .arg(config)
