A test compares who leads, not the form in which the counter of terms is stored

The test was wrong: it means that the lead doesn't move. It now compares the leader's record (node, term, lease), which is stricter: a lead that was lost and taken again by the same node would show.

--- a/tests/service/links_command.rs
+++ b/tests/service/links_command.rs
@@ -175,7 +175,8 @@
 fn views_that_do_not_count_move_nothing() {
     let (state, nodes) = watching("links-views");
     settled(&nodes.configs[0]);
-    let term = state.data("term");
+    // Node, term and lease.
+    let lead = state.data("leader");
     let settings = Settings::load(&nodes.configs[0]).unwrap();
     let peer = TcpPeer::new(settings.peer_listen);
     let hears_all = |from: &str, to: &str| LinkView {
@@ -214,7 +215,7 @@
         assert!(Instant::now() < deadline, "{:?}", rejected());
         std::thread::sleep(Duration::from_millis(100));
     }
-    assert_eq!(state.data("term"), term);
+    assert_eq!(state.data("leader"), lead);
 }
 
 /// Settings of links that contradict each other, or have no effect, end a controller before it listens.
