--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -3,18 +3,18 @@
 //! Everything here is deterministic: events, `now` and a seeded generator go in, the wanted
 //! state comes out. Threads, sockets and clocks stay outside, so that a test replays a trace.
 
+mod estimates;
+mod hearing;
+mod views;
+
 use crate::fleet::Fleet;
 use crate::jobs::spec::Submission;
-use crate::jobs::{
-    Deciding, DoneRecord, Job, JobId, JobView, Jobs, Known, Outcome, ViewState, new_job,
-};
+use crate::jobs::{Deciding, DoneRecord, Job, JobId, Jobs, Outcome, new_job};
 use crate::settings::{Objective, TeamSettings};
 use crate::state_store::pages::Pages;
 use crate::time::{Micros, Moment, WallTime, at_most};
-use crate::workers::wire::TaskStatus;
 use crate::workers::{DesiredState, Machine};
 use aspenreel_links::permissions::Permissions;
-use aspenreel_links::workers::Hearing;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What an operator and the platform set.
@@ -46,9 +46,6 @@
 /// Beside clock drift, allow for timers and for time between reading a clock and sending.
 pub const LEASE_MARGIN: Micros = Micros::from_millis(500);
 
-/// How long a replica of a standing job is expected to run: nobody waits for its end.
-const FOR_GOOD: Micros = Micros::from_secs(24 * 3600);
-
 /// Classes of jobs whose run times are learned.
 const MOST_CLASSES: usize = 1000;
 
@@ -285,40 +282,6 @@
         true
     }
 
-    pub fn view(&self, id: &str) -> Known {
-        let (Some(job_id), Some(job)) = (self.jobs.find(id), self.jobs.get(id)) else {
-            return Known::Nothing;
-        };
-        if let Some(outcome) = job.outcome {
-            return Known::View(JobView::of_final(outcome, job.spec.tasks));
-        }
-        if job.deciding != Deciding::No {
-            return Known::Deciding;
-        }
-        let running = if job.is_bound() {
-            self.running_of(job_id)
-        } else {
-            0
-        };
-        Known::View(JobView {
-            state: if running > 0 {
-                ViewState::Running
-            } else {
-                ViewState::Queued
-            },
-            done: job.recorded.len(),
-            running,
-        })
-    }
-
-    fn running_of(&self, id: JobId) -> u32 {
-        self.machines
-            .values()
-            .flat_map(|m| m.attempts.range((id, 0, 0)..=(id, u32::MAX, u64::MAX)))
-            .filter(|(_, a)| a.status == Some(TaskStatus::Running))
-            .count() as u32
-    }
-
     /// Lets earlier terms' claimed tasks go once no unseen machine can hold them any more.
     ///
     /// A task starts only on a machine that is on the roster, and only once it is claimed. So
@@ -390,189 +353,12 @@
         self.behind || (self.behind_at > Moment(0) && now - self.behind_at < span)
     }
 
-    /// True when most machines fell silent together: rather this node is cut off than they are.
-    ///
-    /// The state service may still serve a leader that no worker reaches; it would keep its lease
-    /// while every lease runs out. A leader that falls behind is not cut off: reports wait here,
-    /// unread, and the next leader would have no more processor, and hundreds of workers coming
-    /// over besides.
-    pub fn unheard(&self, acting_since: Moment, now: Moment) -> bool {
-        now - acting_since >= self.silence().scaled(2.0)
-            && self.hearing_is_settled(now)
-            && self.hearing(now).is_blind()
-    }
-
-    /// After this long without a report a machine is silent.
-    fn silence(&self) -> Micros {
-        self.config.report.scaled(1.5)
-    }
-
-    /// This controller has led, and hasn't fallen behind, for long enough to tell who is silent.
-    pub fn hearing_is_settled(&self, now: Moment) -> bool {
-        now - self.started.max(self.behind_at) >= self.silence().scaled(2.0)
-    }
-
-    /// How many of the machines that should report do.
-    fn hearing(&self, now: Moment) -> Hearing {
-        self.hearing_where(now, |_| true)
-    }
-
-    /// The same, but only of those whose heartbeats come as regularly as from a worker that is answered.
-    pub fn hearing_both_ways(&self, now: Moment) -> Hearing {
-        let patience = self.silence();
-        self.hearing_where(now, |m| m.heartbeat_gap <= patience)
-    }
-
-    fn hearing_where(&self, now: Moment, counts: impl Fn(&Machine) -> bool) -> Hearing {
-        let patience = self.silence();
-        let silent_at = |m: &&Machine| m.last_report.is_none_or(|t| now - t > patience);
-        let known: Vec<&Machine> = self
-            .machines
-            .values()
-            .filter(|m| !m.lost && !m.returning && !m.recalled)
-            .filter(|m| m.last_report.is_some() || self.unseen.contains(&m.name))
-            .collect();
-        let silent = known.iter().filter(|m| silent_at(m) || !counts(m));
-        let silent = silent.count();
-        Hearing {
-            heard: (known.len() - silent) as u32,
-            known: known.len() as u32,
-        }
-    }
-
-    /// Learns from a finished task.
-    pub fn note_run(&mut self, id: JobId, ran: Micros) {
-        let Some(job) = self.jobs.table.get_mut(&id) else {
-            return;
-        };
-        job.runs.0 += 1;
-        job.runs.1 = job.runs.1 + ran;
-        let guess = job.spec.estimate.as_secs_f64();
-        if guess > 0.0 {
-            let seen = (ran.as_secs_f64() / guess).clamp(0.1, 10.0);
-            // Classes are what users say they are: beyond a thousand the estimates stay as given.
-            let known = self.estimate_ratio.contains_key(&job.spec.class);
-            if !known && self.estimate_ratio.len() >= MOST_CLASSES {
-                return;
-            }
-            let ratio = self
-                .estimate_ratio
-                .entry(job.spec.class.clone())
-                .or_insert(1.0);
-            *ratio += 0.05 * (seen - *ratio);
-        }
-    }
-
-    /// How long a task of the job should run: its own finished tasks tell most.
-    pub fn expected_run(&self, job: &Job) -> Micros {
-        if job.spec.standing {
-            return FOR_GOOD;
-        }
-        let ratio = self
-            .estimate_ratio
-            .get(&job.spec.class)
-            .copied()
-            .unwrap_or(1.0);
-        let guess = job.spec.estimate.scaled(ratio);
-        let (n, sum) = job.runs;
-        Micros((guess.0 + sum.0) / u64::from(n + 1))
-    }
-
-    /// When the job's tasks should start at the latest: by its own deadline, else by what the
-    /// operator aims at for its class.
-    pub fn latest_start(&self, job: &Job) -> Moment {
-        let before = |due: Moment| {
-            let run = self.expected_run(job).scaled(1.2);
-            Moment(due.0.saturating_sub(run.0))
-        };
-        if job.spec.standing {
-            return job.accepted_at;
-        }
-        let mut latest = job.due_at().map(before);
-        for o in self.config.objectives.iter() {
-            if o.class.as_deref() != Some(job.spec.class.as_str()) || o.within_s <= 0.0 {
-                continue;
-            }
-            let at = job.accepted_at + Micros::from_secs_f64(o.within_s);
-            let by = match o.kind.as_str() {
-                "wait" => at,
-                "finished" => before(at),
-                _ => continue,
-            };
-            latest = Some(latest.map_or(by, |l| l.min(by)));
-        }
-        latest.unwrap_or(job.accepted_at)
-    }
-
-    /// The zone of most machines that are silent.
-    pub fn silent_zone(&self, now: Moment) -> Option<String> {
-        let zones = self.silent_by_zone(now);
-        let most = zones.into_iter().max_by_key(|(_, n)| *n)?;
-        Some(most.0.to_string())
-    }
-
-    /// How many machines are silent in each zone.
-    pub fn silent_by_zone(&self, now: Moment) -> BTreeMap<&str, u32> {
-        let patience = self.silence();
-        let mut zones = BTreeMap::new();
-        for m in self.machines.values() {
-            if m.last_report.is_none_or(|t| now - t > patience) {
-                *zones.entry(m.zone.as_str()).or_insert(0) += 1;
-            }
-        }
-        zones
-    }
-
     /// A machine that an earlier term recorded, and when it existed at the latest.
     pub fn note_unseen(&mut self, name: &str, since: Moment) {
         self.unseen.insert(name.to_string());
         self.old_records.insert(name.to_string(), since);
     }
 
-    /// One line on where the CPUs are, for whoever wonders why work waits.
-    pub fn summary(&self, now: Moment) -> String {
-        let (mut total, mut free, mut unusable) = (0, 0, 0);
-        let mut by_state: BTreeMap<&str, i64> = BTreeMap::new();
-        for m in self.machines.values().filter(|m| m.last_report.is_some()) {
-            total += m.total.cpu;
-            if self.usable(m, now) {
-                free += self.free_room(m).cpu;
-            } else {
-                unusable += m.total.cpu;
-            }
-            for (key, a) in m.attempts.iter().filter(|(_, a)| a.holds()) {
-                let state = match (a.desired, a.status) {
-                    (DesiredState::Stop { .. }, _) => "stopping",
-                    (_, None) => "starting",
-                    (_, Some(TaskStatus::Fetching)) => "fetching",
-                    (_, Some(TaskStatus::Running)) => "running",
-                    _ => "other",
-                };
-                let need = self.jobs.table.get(&key.0).map_or(0, |j| j.spec.need.cpu);
-                *by_state.entry(state).or_insert(0) += need;
-            }
-        }
-        let waiting: i64 = self
-            .jobs
-            .table
-            .values()
-            .map(|j| j.spec.need.cpu * i64::from(j.ready()))
-            .sum();
-        let by_state: Vec<String> = by_state
-            .iter()
-            .map(|(state, cpu)| format!("{} {state}", cpu / 1000))
-            .collect();
-        format!(
-            "CPUs: {} up, {} on machines that take no work, {} free, {}; {} waited for by {} jobs",
-            total / 1000,
-            unusable / 1000,
-            free / 1000,
-            by_state.join(", "),
-            waiting / 1000,
-            self.jobs.table.len()
-        )
-    }
-
     /// What time alone changes.
     pub fn tick(&mut self, now: Moment) {
         self.expire_leases(now);
--- /dev/null
+++ b/src/cluster/estimates.rs
@@ -0,0 +1,77 @@
+//! How long tasks run, learned from those that ended, and when they should start.
+
+use super::{Cluster, MOST_CLASSES};
+use crate::jobs::{Job, JobId};
+use crate::time::{Micros, Moment};
+
+/// How long a replica of a standing job is expected to run: nobody waits for its end.
+const FOR_GOOD: Micros = Micros::from_secs(24 * 3600);
+
+/// A finished task moves its class's ratio of run time to estimate by this part of the difference.
+const LEARNING_RATE: f64 = 0.05;
+
+impl Cluster {
+    /// Learns from a finished task.
+    pub fn note_run(&mut self, id: JobId, ran: Micros) {
+        let Some(job) = self.jobs.table.get_mut(&id) else {
+            return;
+        };
+        job.runs.0 += 1;
+        job.runs.1 = job.runs.1 + ran;
+        let guess = job.spec.estimate.as_secs_f64();
+        if guess > 0.0 {
+            let seen = (ran.as_secs_f64() / guess).clamp(0.1, 10.0);
+            // Classes are what users say they are: beyond a thousand the estimates stay as given.
+            let known = self.estimate_ratio.contains_key(&job.spec.class);
+            if !known && self.estimate_ratio.len() >= MOST_CLASSES {
+                return;
+            }
+            let ratio = self
+                .estimate_ratio
+                .entry(job.spec.class.clone())
+                .or_insert(1.0);
+            *ratio += LEARNING_RATE * (seen - *ratio);
+        }
+    }
+
+    /// How long a task of the job should run: its own finished tasks tell most.
+    pub fn expected_run(&self, job: &Job) -> Micros {
+        if job.spec.standing {
+            return FOR_GOOD;
+        }
+        let ratio = self
+            .estimate_ratio
+            .get(&job.spec.class)
+            .copied()
+            .unwrap_or(1.0);
+        let guess = job.spec.estimate.scaled(ratio);
+        let (n, sum) = job.runs;
+        Micros((guess.0 + sum.0) / u64::from(n + 1))
+    }
+
+    /// When the job's tasks should start at the latest: by its own deadline, else by what the
+    /// operator aims at for its class.
+    pub fn latest_start(&self, job: &Job) -> Moment {
+        let before = |due: Moment| {
+            let run = self.expected_run(job).scaled(1.2);
+            Moment(due.0.saturating_sub(run.0))
+        };
+        if job.spec.standing {
+            return job.accepted_at;
+        }
+        let mut latest = job.due_at().map(before);
+        for o in self.config.objectives.iter() {
+            if o.class.as_deref() != Some(job.spec.class.as_str()) || o.within_s <= 0.0 {
+                continue;
+            }
+            let at = job.accepted_at + Micros::from_secs_f64(o.within_s);
+            let by = match o.kind.as_str() {
+                "wait" => at,
+                "finished" => before(at),
+                _ => continue,
+            };
+            latest = Some(latest.map_or(by, |l| l.min(by)));
+        }
+        latest.unwrap_or(job.accepted_at)
+    }
+}
--- /dev/null
+++ b/src/cluster/hearing.rs
@@ -0,0 +1,78 @@
+//! Which machines the leader hears, and what their silence says of its own links.
+
+use super::Cluster;
+use crate::time::{Micros, Moment};
+use crate::workers::Machine;
+use aspenreel_links::workers::Hearing;
+use std::collections::BTreeMap;
+
+impl Cluster {
+    /// True when most machines fell silent together: rather this node is cut off than they are.
+    ///
+    /// The state service may still serve a leader that no worker reaches; it would keep its lease
+    /// while every lease runs out. A leader that falls behind is not cut off: reports wait here,
+    /// unread, and the next leader would have no more processor, and hundreds of workers coming
+    /// over besides.
+    pub fn unheard(&self, acting_since: Moment, now: Moment) -> bool {
+        now - acting_since >= self.silence().scaled(2.0)
+            && self.hearing_is_settled(now)
+            && self.hearing(now).is_blind()
+    }
+
+    /// After this long without a report a machine is silent.
+    fn silence(&self) -> Micros {
+        self.config.report.scaled(1.5)
+    }
+
+    /// This controller has led, and hasn't fallen behind, for long enough to tell who is silent.
+    pub fn hearing_is_settled(&self, now: Moment) -> bool {
+        now - self.started.max(self.behind_at) >= self.silence().scaled(2.0)
+    }
+
+    /// How many of the machines that should report do.
+    fn hearing(&self, now: Moment) -> Hearing {
+        self.hearing_where(now, |_| true)
+    }
+
+    /// The same, but only of those whose heartbeats come as regularly as from a worker that is answered.
+    pub fn hearing_both_ways(&self, now: Moment) -> Hearing {
+        let patience = self.silence();
+        self.hearing_where(now, |m| m.heartbeat_gap <= patience)
+    }
+
+    fn hearing_where(&self, now: Moment, counts: impl Fn(&Machine) -> bool) -> Hearing {
+        let patience = self.silence();
+        let silent_at = |m: &&Machine| m.last_report.is_none_or(|t| now - t > patience);
+        let known: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| !m.lost && !m.returning && !m.recalled)
+            .filter(|m| m.last_report.is_some() || self.unseen.contains(&m.name))
+            .collect();
+        let silent = known.iter().filter(|m| silent_at(m) || !counts(m));
+        let silent = silent.count();
+        Hearing {
+            heard: (known.len() - silent) as u32,
+            known: known.len() as u32,
+        }
+    }
+
+    /// The zone of most machines that are silent.
+    pub fn silent_zone(&self, now: Moment) -> Option<String> {
+        let zones = self.silent_by_zone(now);
+        let most = zones.into_iter().max_by_key(|(_, n)| *n)?;
+        Some(most.0.to_string())
+    }
+
+    /// How many machines are silent in each zone.
+    pub fn silent_by_zone(&self, now: Moment) -> BTreeMap<&str, u32> {
+        let patience = self.silence();
+        let mut zones = BTreeMap::new();
+        for m in self.machines.values() {
+            if m.last_report.is_none_or(|t| now - t > patience) {
+                *zones.entry(m.zone.as_str()).or_insert(0) += 1;
+            }
+        }
+        zones
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod cbor;
 pub mod client;
+pub mod message;
+mod request;
 pub mod server;
 
 /// The largest request body that is taken, and the largest answer given to workers and users.
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -11,9 +11,11 @@
 //! Connections that carry routine requests are therefore waited for in a set of their own, and
 //! taken a few at a time between looks at the others.
 
-use super::{MAX_BODY, MAX_HEAD};
+pub use super::message::{Handler, Limits, Request, Response};
+
+use super::message::reason;
+use super::request::{Parsed, next_request};
 use crate::os::{Os, System};
-use crate::time::Moment;
 use rustix::event::Timespec;
 use rustix::event::epoll::{self, CreateFlags, EventData, EventFlags};
 use rustix::io::Errno;
@@ -44,7 +46,6 @@
 const QUEUED_PER_THREAD: usize = 4;
 /// What one turn takes from a connection.
 const CHUNK: usize = 16 * 1024;
-const MAX_HEADERS: usize = 48;
 /// Connections taken in one turn, so that a storm of them doesn't keep out the open ones.
 const ACCEPTS_A_TURN: usize = 64;
 /// Requests taken in one turn: of all kinds but routine ones, and of these. Either kind goes on in
@@ -55,82 +56,6 @@
 /// The set of connections with routine requests, as an event of the other set.
 const ROUTINE: u64 = 1;
 
-#[derive(Debug)]
-pub struct Request {
-    pub method: String,
-    pub path: String,
-    pub body: Vec<u8>,
-}
-
-#[derive(Debug, Default)]
-pub struct Response {
-    pub status: u16,
-    pub body: Vec<u8>,
-    pub retry_after_s: Option<u32>,
-    /// The answer may only leave before this moment: after it the lead may be another's.
-    pub valid_until: Option<Moment>,
-}
-
-impl Response {
-    pub fn new(status: u16, body: Vec<u8>) -> Self {
-        Response {
-            status,
-            body,
-            ..Response::default()
-        }
-    }
-
-    /// A refusal that tells at once when to come back.
-    pub fn busy(retry_after_s: u32) -> Self {
-        Response {
-            status: 503,
-            retry_after_s: Some(retry_after_s),
-            ..Response::default()
-        }
-    }
-}
-
-/// What answers requests.
-pub trait Handler: Send + Sync + 'static {
-    /// Answers what needs no wait for the network; hands back what may need one.
-    fn at_once(&self, request: Request) -> Result<Response, Request> {
-        Err(request)
-    }
-    /// Answers what was handed back, on a thread that may wait.
-    fn handle(&self, request: Request) -> Response;
-    /// True for requests that come again and again on the same connection and can bear a moment.
-    fn routine(&self, _request: &Request) -> bool {
-        false
-    }
-}
-
-/// How much a server takes on at once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limits {
-    pub connections: usize,
-    /// Threads that wait for the network in place of requests.
-    pub threads: usize,
-    /// Bytes of unfinished requests and of answers that are not taken yet.
-    pub buffered: usize,
-}
-
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        201 => "Created",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        411 => "Length Required",
-        413 => "Content Too Large",
-        421 => "Misdirected Request",
-        422 => "Unprocessable Content",
-        431 => "Request Header Fields Too Large",
-        503 => "Service Unavailable",
-        _ => "Other",
-    }
-}
-
 /// What is under way on a connection.
 #[derive(Default)]
 struct State {
@@ -618,56 +543,3 @@
         }
     }
 }
-
-enum Parsed {
-    Request { request: Request, close: bool },
-    Refuse(u16),
-    Partial,
-}
-
-/// Takes the next request from what was read, if it is complete.
-fn next_request(buf: &mut Vec<u8>) -> Parsed {
-    if buf.is_empty() {
-        return Parsed::Partial;
-    }
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut head = httparse::Request::new(&mut headers);
-    let start = match head.parse(buf) {
-        Ok(httparse::Status::Complete(start)) => start,
-        Ok(httparse::Status::Partial) if buf.len() > MAX_HEAD => return Parsed::Refuse(431),
-        Ok(httparse::Status::Partial) => return Parsed::Partial,
-        Err(httparse::Error::TooManyHeaders) => return Parsed::Refuse(431),
-        Err(_) => return Parsed::Refuse(400),
-    };
-    let mut length = None;
-    let mut close = head.version == Some(0);
-    for h in head.headers.iter() {
-        if h.name.eq_ignore_ascii_case("content-length") {
-            let n = std::str::from_utf8(h.value)
-                .ok()
-                .and_then(|v| v.trim().parse::<usize>().ok());
-            match n {
-                Some(n) if length.is_none_or(|l| l == n) => length = Some(n),
-                _ => return Parsed::Refuse(400),
-            }
-        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
-            return Parsed::Refuse(411);
-        } else if h.name.eq_ignore_ascii_case("connection") {
-            close |= h.value.eq_ignore_ascii_case(b"close");
-        }
-    }
-    let length = length.unwrap_or(0);
-    if length > MAX_BODY {
-        return Parsed::Refuse(413);
-    }
-    if buf.len() < start + length {
-        return Parsed::Partial;
-    }
-    let request = Request {
-        method: head.method.unwrap_or("").to_string(),
-        path: head.path.unwrap_or("").to_string(),
-        body: buf[start..start + length].to_vec(),
-    };
-    buf.drain(..start + length);
-    Parsed::Request { request, close }
-}
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -10,10 +10,12 @@
 pub mod command;
 mod exchange;
 mod handover;
+mod options;
 mod sink;
 mod watch;
 
 pub use handover::HANDOVER_KEY;
+pub use options::LinkOptions;
 pub use sink::EvidenceSink;
 
 use crate::settings::Settings;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,10 +1,15 @@
 //! One controller process: what its threads share, and which threads there are.
 
+mod finals;
+mod routes;
+
+pub use finals::Finals;
+
 use crate::cli::ServeOptions;
 use crate::cluster::{Cluster, ClusterConfig};
 use crate::fleet::MachineType;
-use crate::http::server::{Handler, Limits, Request, Response, serve};
-use crate::jobs::{JobView, Known};
+use crate::http::server::{Limits, serve};
+use crate::jobs::Known;
 use crate::leadership::level::Level;
 use crate::leadership::peer::{PeerClient, PeerReply, PeerRequest, serve_peers};
 use crate::leadership::{Lead, LeaderRecord};
@@ -17,7 +22,7 @@
 use crate::workers::edge::WorkerClients;
 use aspenreel_links::evidence::{Link, NodeName};
 use aspenreel_links::handover::{HandoverPlanner, HandoverRecord};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -35,39 +40,6 @@
 /// goes on, and doesn't stand down for the same reason again until then.
 const ABSTAIN: Micros = Micros::from_secs(40);
 
-/// Final states that were recorded: these never change, so any node may tell them from memory.
-/// Older ones are read from the state service.
-#[derive(Debug, Default)]
-pub struct Finals {
-    most: usize,
-    views: HashMap<String, JobView>,
-    age: VecDeque<String>,
-}
-
-impl Finals {
-    pub fn new(most: usize) -> Finals {
-        Finals {
-            most,
-            ..Finals::default()
-        }
-    }
-
-    pub fn get(&self, id: &str) -> Option<JobView> {
-        self.views.get(id).copied()
-    }
-
-    pub fn note(&mut self, id: &str, view: JobView) {
-        if view.is_final() && self.views.insert(id.to_string(), view).is_none() {
-            self.age.push_back(id.to_string());
-            if self.age.len() > self.most
-                && let Some(old) = self.age.pop_front()
-            {
-                self.views.remove(&old);
-            }
-        }
-    }
-}
-
 /// What the main lock guards. Nobody waits for the network while holding it.
 #[derive(Debug, Default)]
 pub struct Core {
@@ -367,63 +339,3 @@
         }
     }
 }
-
-/// What a request asks for.
-enum Route<'a> {
-    Heartbeat,
-    Up,
-    Submit,
-    Status(&'a str),
-    Cancel(&'a str),
-    Refused(u16),
-}
-
-fn route(request: &Request) -> Route<'_> {
-    let path = request.path.split('?').next().unwrap_or("");
-    let (wanted, route) = match path {
-        "/checkin" => ("POST", Route::Heartbeat),
-        "/up" => ("GET", Route::Up),
-        "/work" => ("POST", Route::Submit),
-        _ => match path.strip_prefix("/work/").map(|rest| rest.split_once('/')) {
-            Some(None) => ("GET", Route::Status(&path["/work/".len()..])),
-            Some(Some((id, "withdraw"))) => ("POST", Route::Cancel(id)),
-            _ => return Route::Refused(404),
-        },
-    };
-    if request.method == wanted {
-        route
-    } else {
-        Route::Refused(405)
-    }
-}
-
-impl Handler for Node {
-    /// Workers and health checks never wait for what users ask; a status that this node knows is
-    /// told at once.
-    fn at_once(&self, request: Request) -> Result<Response, Request> {
-        let response = match route(&request) {
-            Route::Heartbeat => Some(self.heartbeat(&request.body)),
-            Route::Up => Some(self.up()),
-            Route::Status(id) => self.known_status(id),
-            Route::Refused(status) => Some(Response::new(status, Vec::new())),
-            Route::Submit | Route::Cancel(_) => None,
-        };
-        response.ok_or(request)
-    }
-
-    /// Hundreds of workers check in whatever users do.
-    fn routine(&self, request: &Request) -> bool {
-        matches!(route(request), Route::Heartbeat)
-    }
-
-    fn handle(&self, request: Request) -> Response {
-        match route(&request) {
-            Route::Submit => self.submit(&request.body),
-            Route::Status(id) => self.status(id),
-            Route::Cancel(id) => self.cancel(id),
-            Route::Heartbeat => self.heartbeat(&request.body),
-            Route::Up => self.up(),
-            Route::Refused(status) => Response::new(status, Vec::new()),
-        }
-    }
-}
