Commands held for longer than a cancellation takes: the incident's cause, reproduced, known red

The model held direct commands for seconds at most. Now a share of them is held for any time, in order on each way, unanswered, while heartbeats flow.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod checker;
 pub mod cloud;
 pub mod cuts;
+pub mod held;
 pub mod keys;
 pub mod log;
 pub mod machines;
--- a/crates/testbed/src/net.rs
+++ b/crates/testbed/src/net.rs
@@ -216,7 +216,7 @@
         let there = self.world.latency();
         let (to, n, addr, body) = (slot.clone(), self.node, self.addr, body.to_vec());
         self.world.after(there, move |w| {
-            w.commands_arrive(n, addr, body, move |w, answer| {
+            w.commands_sent(n, addr, body, move |w, answer| {
                 to.arrive(w, w.latency(), answer);
             });
         });
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -3,6 +3,7 @@
 use crate::checker::{Checker, JobPlan};
 use crate::cloud::Cloud;
 use crate::cuts::Cuts;
+use crate::held::HeldCommands;
 use crate::keys::Keys;
 use crate::machines::Machine;
 use crate::net::SimOs;
@@ -104,6 +105,8 @@
     pub late_writes: Option<LateWrites>,
     pub late_reports: Option<LateReports>,
     pub kept_reports: Vec<Report>,
+    /// Direct commands that the network holds back.
+    pub(crate) held_commands: HeldCommands,
     pub nodes: Vec<NodeState>,
     pub zone_cuts: BTreeMap<String, Time>,
     /// Cuts of single directions.
@@ -143,6 +146,7 @@
                 late_writes: None,
                 late_reports: None,
                 kept_reports: Vec::new(),
+                held_commands: HeldCommands::default(),
                 nodes: (0..setup.nodes).map(|_| NodeState::default()).collect(),
                 zone_cuts: BTreeMap::new(),
                 cuts: Cuts::default(),
--- a/tests/common/trace.rs
+++ b/tests/common/trace.rs
@@ -191,10 +191,20 @@
     }
 
     pub fn send(&mut self, report: &Report) -> &mut Self {
+        self.send_to(report);
+        self
+    }
+
+    /// Sends a report; the token of its answer, if it is answered.
+    pub fn send_to(&mut self, report: &Report) -> Option<u64> {
         // In a trace claims and the roster are written as soon as they are due.
         self.cluster.place(self.now);
         self.record_fleet();
         let answer = self.cluster.heartbeat(report, self.now);
+        let token = match answer {
+            Heartbeat::Orders(_) => Some(self.cluster.term),
+            _ => None,
+        };
         let text = match answer {
             Heartbeat::Orders(orders) if orders.is_empty() => "nothing to do".to_string(),
             Heartbeat::Orders(orders) => orders.iter().map(show).collect::<Vec<_>>().join(", "),
@@ -222,7 +232,7 @@
             self.cluster.place(self.now);
         }
         self.record_fleet();
-        self
+        token
     }
 
     /// Writes what starts wait for.
--- a/tests/model/main.rs
+++ b/tests/model/main.rs
@@ -3,6 +3,7 @@
 mod large;
 mod links;
 mod meetings;
+mod orders;
 mod services;
 mod upgrades;
 
--- /dev/null
+++ b/tests/model/orders.rs
@@ -0,0 +1,66 @@
+//! Direct commands that are held on their way for longer than a cancellation may take, while heartbeats
+//! renew the workers' sessions.
+
+use aspenreel_testbed::plans::*;
+use aspenreel_testbed::play::play;
+use aspenreel_testbed::world::CANCEL_S;
+
+/// Jobs are cancelled while their starts are on the way. Whatever arrives late starts nothing.
+#[test]
+fn commands_are_held_for_longer_than_a_cancellation_takes() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 70.0, 60, |i, p| {
+            p.run_s = 6.0 + f64::from(i % 4) * 6.0
+        });
+        let held = CANCEL_S + 4.0..CANCEL_S + 50.0;
+        w.at(6.0, move |w| w.hold_commands(0.5, held, 70.0));
+        cancel_soon(w, &every_other(&ids, 2), 8.0, rng);
+    });
+    for end in ends {
+        assert!(end.cancelled > 10 && end.done > 20, "{end:?}");
+    }
+}
+
+/// The same while the lead changes, whoever confirmed the cancellation.
+#[test]
+fn commands_are_held_while_leaders_change() {
+    let ends = play(SEEDS, &setup(), |w, rng| {
+        let ids = jobs(w, 4.0, 90.0, 60, |i, p| {
+            p.run_s = 6.0 + f64::from(i % 4) * 6.0
+        });
+        let held = 10.0..CANCEL_S + 50.0;
+        w.at(6.0, move |w| w.hold_commands(0.5, held, 90.0));
+        for k in 0..5 {
+            let at = 15.0 + 18.0 * f64::from(k) + rng.f64() * 6.0;
+            let back = 0.2 + rng.f64() * 3.0;
+            w.at(at, move |w| w.crash(w.leader_or_any(), back));
+        }
+        cancel_soon(w, &every_other(&ids, 2), 8.0, rng);
+    });
+    for end in ends {
+        assert!(end.leaders >= 5 && end.cancelled > 10, "{end:?}");
+    }
+}
+
+/// Work is preempted while its starts are on the way: it starts elsewhere, and the late start must find
+/// its right lapsed.
+#[test]
+fn commands_are_held_while_work_is_preempted() {
+    let site = aspenreel_testbed::world::Setup {
+        capacity: 5,
+        machines: vec![("small", "east", true, 3), ("small", "west", true, 2)],
+        ..setup()
+    };
+    let ends = play(SEEDS, &site, |w, _| {
+        jobs(w, 4.0, 90.0, 60, |i, p| {
+            p.rank = ["low", "normal", "high", "production"][i as usize % 4];
+            p.cpus = 4.0;
+            p.run_s = 8.0;
+        });
+        let held = 25.0..CANCEL_S + 50.0;
+        w.at(6.0, move |w| w.hold_commands(0.6, held, 90.0));
+    });
+    for end in ends {
+        assert!(end.done > 40, "{end:?}");
+    }
+}
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -1,5 +1,7 @@
 //! Kept traces: what a leader does, event by event. Each guards one promise.
 
+#[path = "traces/orders.rs"]
+mod orders;
 #[path = "common/trace.rs"]
 mod trace;
 
--- /dev/null
+++ b/tests/traces/orders.rs
@@ -0,0 +1,118 @@
+//! Orders that the network holds back: when a leader may count on them not to arrive any more.
+
+use crate::trace::{World, submission, team};
+use aspenreel::workers::direct::DirectResult;
+
+/// As long as a cancellation may take, in the trace's settings.
+const CANCEL_S: f64 = 46.0;
+const LEASE_S: f64 = 20.0;
+
+/// A worker, as far as it decides whether a late order is executed.
+struct Worker {
+    name: &'static str,
+    token: u64,
+    session: u64,
+    /// When the last answered heartbeat was sent.
+    renewed: f64,
+}
+
+/// What a direct command carries.
+#[derive(Clone, Copy)]
+struct HeldOrder {
+    token: u64,
+    session: u64,
+}
+
+impl Worker {
+    fn new(name: &'static str) -> Worker {
+        Worker {
+            name,
+            token: 2,
+            session: 1,
+            renewed: 0.0,
+        }
+    }
+
+    /// Sends a heartbeat that shows these tasks. True if it was answered.
+    fn heartbeat(&mut self, world: &mut World, seconds: f64, tasks: &[&str]) -> bool {
+        if seconds - self.renewed > LEASE_S {
+            self.session += 1;
+            self.renewed = seconds;
+        }
+        world.at(seconds);
+        let report = world.report(self.name, self.token, self.session, tasks);
+        let answer = world.send_to(&report);
+        if let Some(token) = answer
+            && token >= self.token
+        {
+            self.token = token;
+            self.renewed = seconds;
+        }
+        answer.is_some()
+    }
+
+    fn executes(&self, order: HeldOrder) -> bool {
+        order.token >= self.token && order.session == self.session
+    }
+}
+
+/// A direct start is on its way when its job is cancelled, and stays there for minutes, while heartbeats
+/// renew the session. Before the time for a cancellation is over, the worker must have lost the right to
+/// execute it.
+#[test]
+fn a_held_start_is_revoked_before_its_cancellation_must_be_complete() {
+    let mut w = World::new(2, vec![team("a", 64.0, 64.0)]);
+    let mut worker = Worker::new("big-east-1");
+    worker.heartbeat(&mut w, 0.0, &[]);
+    w.at(0.5).job(submission("run-1", |s| s.pieces = 1));
+    w.tick(1.0).direct(|_| DirectResult::Unknown);
+    let held = HeldOrder {
+        token: 2,
+        session: 1,
+    };
+    w.at(2.0);
+    w.cluster.ask_cancel("run-1");
+    w.round(true);
+    for second in (3..=72).step_by(3) {
+        worker.heartbeat(&mut w, f64::from(second), &[]);
+        if f64::from(second) < 2.0 + CANCEL_S {
+            continue;
+        }
+        w.round(true);
+        assert!(!worker.executes(held), "executed {second} s late");
+    }
+}
+
+/// A preempted task's start is on its way. Its task may start elsewhere only once the worker can't
+/// execute the late order any more.
+#[test]
+fn a_preempted_start_holds_its_task_until_it_is_revoked() {
+    let mut w = World::new(2, vec![team("a", 64.0, 64.0)]);
+    let mut worker = Worker::new("big-east-1");
+    worker.heartbeat(&mut w, 0.0, &[]);
+    w.at(0.5).job(submission("run-1", |s| s.pieces = 1));
+    w.tick(1.0).direct(|_| DirectResult::Unknown);
+    let held = HeldOrder {
+        token: 2,
+        session: 1,
+    };
+    let key = *w.cluster.machines["big-east-1"]
+        .attempts
+        .keys()
+        .next()
+        .unwrap();
+    w.cluster.stop_attempt("big-east-1", key);
+    w.at(2.0)
+        .direct(|w| DirectResult::Report(w.report("big-east-1", 2, 1, &[])));
+    for second in (3..=60).step_by(3) {
+        worker.heartbeat(&mut w, f64::from(second), &[]);
+        let is_bound = w.cluster.machines["big-east-1"]
+            .attempts
+            .get(&key)
+            .is_some_and(|attempt| attempt.holds());
+        assert!(
+            is_bound || !worker.executes(held),
+            "its task is free at {second} s"
+        );
+    }
+}
