Starts in doubt are fenced off by a higher token, and let go by proof alone

Cause: a direct start without an answer is a permission without an end: the worker executes it minutes later if token and session match, and heartbeats renew the session.

Change: workers/delivery.rs is the one place that decides whether such a start may still be executed, with the proof. A leader with starts in doubt raises the counter of terms once more (guarded by its lead) and answers the machines in doubt with the new token only: the worker refuses the old order from its next answer on, its tasks go on. Where that can't be written, heartbeats are not answered from cancel_s less one lease on, so that the session ends in time.

A test was wrong: an_undelivered_start_has_an_end held that a later answer and a lease prove that a start won't come. Its replacement asks for the proof by token, after 6 s instead of 25. unanswered_direct_start keeps its bytes with a state service that refuses the token.

--- a/crates/report/src/fleet_size.rs
+++ b/crates/report/src/fleet_size.rs
@@ -96,6 +96,7 @@
             gpus_max: 0.0,
         }],
         lease: Micros::from_secs(20),
+        cancel: Micros::from_secs(46),
         report: Micros::from_secs(3),
         list_lag: Micros::from_secs(5),
         sample: 3,
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -514,6 +514,13 @@
             }
         }
         let mut state = self.state();
+        let violations = aspenreel::invariants::violations();
+        if violations > 0 {
+            // Counted for the whole process: whichever models run beside this one, one of them did it.
+            let text =
+                format!("controllers saw {violations} invariants violated (MODEL_LOG=error)");
+            state.checker.broken.push(text);
+        }
         let missing: Vec<String> = state
             .checker
             .missing()
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -13,6 +13,7 @@
 use crate::settings::{Objective, TeamSettings};
 use crate::state_store::pages::Pages;
 use crate::time::{Micros, Moment, WallTime, at_most};
+use crate::workers::fencing::Fencing;
 use crate::workers::{DesiredState, Machine};
 use aspenreel_links::permissions::Permissions;
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +23,8 @@
 pub struct ClusterConfig {
     pub teams: Vec<TeamSettings>,
     pub lease: Micros,
+    /// Within this long after its confirmation a cancellation must be complete.
+    pub cancel: Micros,
     pub report: Micros,
     pub list_lag: Micros,
     pub sample: usize,
@@ -99,6 +102,8 @@
     pub urgent_rounds: bool,
     /// Which decisions may be made now.
     permissions: Permissions,
+    /// The tokens given out, and the starts in doubt that they fence off.
+    pub fencing: Fencing,
 }
 
 impl Cluster {
@@ -136,6 +141,7 @@
             behind_at: Moment(0),
             urgent_rounds: false,
             permissions: Permissions::ALL,
+            fencing: Fencing::new(term),
         }
     }
 
@@ -265,7 +271,7 @@
 
     /// From here on nothing of the job starts, and what runs is stopped: its user has no use for it,
     /// whatever becomes of the record. It is cancelled once that is written.
-    pub fn ask_cancel(&mut self, id: &str) -> bool {
+    pub fn ask_cancel(&mut self, id: &str, now: Moment) -> bool {
         let Some(job_id) = self.jobs.find(id) else {
             return false;
         };
@@ -273,7 +279,8 @@
             && job.outcome.is_none()
             && !job.complete()
         {
-            let first = !std::mem::replace(&mut job.cancel_asked, true);
+            let first = job.cancel_asked_at.is_none();
+            job.cancel_asked_at.get_or_insert(now);
             self.urgent_rounds = true;
             if first {
                 self.stop_attempts_of(job_id);
@@ -364,6 +371,7 @@
     /// What time alone changes.
     pub fn tick(&mut self, now: Moment) {
         self.expire_leases(now);
+        self.check_revocations(now);
         let retry = self.jobs.table.values().any(retry_due(now));
         self.dirty |= retry;
         self.place_soon(now);
--- a/src/jobs/edge.rs
+++ b/src/jobs/edge.rs
@@ -83,6 +83,13 @@
                         ..Fullness::default()
                     };
                 }
+                if cluster.token_raise_due(now) && tokens.available(now) >= 1.0 {
+                    let lead = lead.clone();
+                    drop(core);
+                    tokens.force(1.0, now);
+                    self.raise_token(&lead);
+                    continue;
+                }
                 let is_full = cluster.is_full(fullness.told);
                 if let Some(target) = fullness.next(is_full) {
                     drop(core);
@@ -136,10 +143,7 @@
                     Ok(Commit::Done { revision }) => self.note_written(term, &pack, revision),
                     Ok(Commit::Conflict { failed }) => {
                         if failed.contains(&guard.key) {
-                            self.under(term, |core| {
-                                log::info!("the lead is another's: standing down");
-                                core.step_down = true;
-                            });
+                            self.lose_lead(term);
                         } else {
                             self.read_back(term, &failed);
                             self.in_cluster(term, |cluster| cluster.not_written(&pack));
@@ -167,6 +171,14 @@
         }
     }
 
+    /// A guard on the lead failed: it is somebody else's by now.
+    pub(crate) fn lose_lead(&self, term: u64) {
+        self.under(term, |core| {
+            log::info!("the lead is another's: standing down");
+            core.step_down = true;
+        });
+    }
+
     /// Writes that no more jobs are to be accepted, or that they are again.
     fn tell_full(&self, guard: &Guard, lease: u64, fullness: &mut Fullness, target: bool) {
         let change = match target {
@@ -206,7 +218,7 @@
         }
     }
 
-    fn in_cluster(&self, term: u64, work: impl FnOnce(&mut Cluster)) {
+    pub(crate) fn in_cluster(&self, term: u64, work: impl FnOnce(&mut Cluster)) {
         self.under(term, |core| {
             if let Some(cluster) = &mut core.cluster {
                 work(cluster);
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -158,7 +158,8 @@
     pub revisions: Vec<u64>,
     pub job_revision: u64,
     pub outcome: Option<Outcome>,
-    pub cancel_asked: bool,
+    /// When its cancellation was first asked for under this leader.
+    pub cancel_asked_at: Option<Moment>,
     pub deciding: Deciding,
     /// Attempts that may be on a machine, by task.
     bound: HashMap<u32, u16>,
@@ -217,9 +218,14 @@
         }
     }
 
+    /// Its cancellation was asked for under this leader.
+    pub fn is_cancel_asked(&self) -> bool {
+        self.cancel_asked_at.is_some()
+    }
+
     /// It is cancelled, is asked to be, or is done: nothing of it may go on.
     pub fn is_closed(&self) -> bool {
-        self.cancel_asked || self.outcome.is_some()
+        self.is_cancel_asked() || self.outcome.is_some()
     }
 
     /// Some task of it has a place, or had one for long enough.
@@ -393,7 +399,7 @@
         done,
         job_revision,
         outcome: None,
-        cancel_asked: false,
+        cancel_asked_at: None,
         deciding: Deciding::No,
         bound: HashMap::new(),
         bound_open: 0,
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -3,9 +3,10 @@
 use super::{Deciding, DoneRecord, FinalRecord, Job, JobId, Outcome, done_key, final_key, job_key};
 use crate::cluster::Cluster;
 use crate::http::cbor::json_len;
+use crate::invariants::{self, Invariant};
 use crate::state_store::pages::PageImage;
 use crate::state_store::{Change, Guard, to_value};
-use crate::workers::Direct;
+use crate::workers::StartDelivery;
 
 /// The key prefix of claims: which tasks of which jobs may have started.
 pub const CLAIMS_PREFIX: &str = "claims/";
@@ -82,7 +83,7 @@
         self.jobs
             .table
             .iter()
-            .filter(|(_, j)| j.outcome.is_none() && (j.complete() || j.cancel_asked))
+            .filter(|(_, j)| j.outcome.is_none() && (j.complete() || j.is_cancel_asked()))
             // A start that is under way would come after the cancellation is confirmed. Its answer
             // comes soon, or the call is given up.
             .filter(|(id, j)| j.complete() || !self.starts_under_way(**id))
@@ -120,7 +121,7 @@
             .jobs
             .table
             .iter()
-            .filter(|(_, j)| j.outcome.is_none() && !j.complete() && !j.cancel_asked)
+            .filter(|(_, j)| j.outcome.is_none() && !j.complete() && !j.is_cancel_asked())
             .map(|(id, j)| (j.done.len() - j.recorded.len(), *id))
             .filter(|(n, _)| *n > 0)
             .collect();
@@ -188,18 +189,18 @@
     /// A start without an answer may still arrive: its attempt must not be cleared, so its job
     /// stays known.
     fn has_open_starts(&self, id: JobId) -> bool {
-        self.any_start(id, |d| d != Direct::Settled)
+        self.any_start(id, StartDelivery::may_arrive)
     }
 
     fn starts_under_way(&self, id: JobId) -> bool {
-        self.any_start(id, |d| d == Direct::InFlight)
+        self.any_start(id, |delivery| delivery == StartDelivery::InFlight)
     }
 
-    fn any_start(&self, id: JobId, is: impl Fn(Direct) -> bool) -> bool {
+    fn any_start(&self, id: JobId, is: impl Fn(StartDelivery) -> bool) -> bool {
         self.machines
             .values()
             .flat_map(|m| m.attempts.range((id, 0, 0)..=(id, u32::MAX, u64::MAX)))
-            .any(|(_, a)| is(a.direct))
+            .any(|(_, a)| is(a.delivery))
     }
 
     /// These writes are about to be sent.
@@ -312,6 +313,12 @@
         let Some(job_id) = self.jobs.find(id) else {
             return;
         };
+        if self.has_open_starts(job_id) {
+            invariants::violated(
+                Invariant::ReleasedWithoutProof,
+                format_args!("job={id} reason=retired"),
+            );
+        }
         self.jobs.remove(job_id);
         self.claims.remove(id);
         self.awaiting_claim.remove(&job_id);
--- a/src/jobs/users.rs
+++ b/src/jobs/users.rs
@@ -364,7 +364,7 @@
         let Some((_, cluster)) = core.acting(now) else {
             return PeerReply::NotLeading;
         };
-        if !cluster.ask_cancel(id) {
+        if !cluster.ask_cancel(id, now) {
             return PeerReply::Unknown;
         }
         self.changed.notify_all();
--- a/src/leadership/level.rs
+++ b/src/leadership/level.rs
@@ -193,7 +193,8 @@
     /// An earlier version may lead although all have stated the newest format: a statement outlives its
     /// process by its lease, and another process may have come back since. That leader would go on
     /// behind the fence, so the transaction guards the lead of this version: a term and a leader of the
-    /// same revision were written together, and only this version's terms tell when earlier ones led.
+    /// same revision were written together, and only this version's terms tell when earlier ones led. A
+    /// term that was raised since names the revision of the leader that raised it.
     fn fence_earlier_versions(&self, mut guards: Vec<Guard>) -> Result<(), StoreError> {
         let (Some(term_row), Some(leader_row)) = (
             self.store.get(TERM_KEY, Urgency::Normal)?,
@@ -202,8 +203,8 @@
             return Ok(());
         };
         let term = TermRecord::read(Some(&term_row))?;
-        let led_by_this_version =
-            term.older_led_at < term_row.revision && leader_row.revision == term_row.revision;
+        let led_by_this_version = term.older_led_at < term_row.revision
+            && term.is_of_leader(term_row.revision, leader_row.revision);
         if !led_by_this_version && !term.fenced {
             return Ok(());
         }
--- a/src/leadership/mod.rs
+++ b/src/leadership/mod.rs
@@ -1,6 +1,7 @@
 //! The lead: taken by one transaction, kept by a lease, fenced by the leader key's revision.
 
 mod edge;
+mod fencing;
 pub mod level;
 pub mod peer;
 pub mod rollback;
@@ -36,6 +37,9 @@
     pub revision: u64,
     /// Revision at which an earlier version last took the lead, 0 if none ever did.
     pub older_led_at: u64,
+    /// The counter of terms as this leader last knew it, and its revision.
+    pub counter: TermRecord,
+    pub counter_revision: u64,
     /// The lease surely lives until then; after it, nobody may be answered.
     pub valid_until: Moment,
 }
@@ -114,6 +118,8 @@
         lease,
         revision,
         older_led_at: next.older_led_at,
+        counter: next,
+        counter_revision: revision,
         valid_until: lease_until(sent, life),
     }))
 }
--- a/src/leadership/term.rs
+++ b/src/leadership/term.rs
@@ -27,6 +27,9 @@
         skip_serializing_if = "Option::is_none"
     )]
     older_led_at: Option<u64>,
+    /// Earlier versions ignore it and leave it out.
+    #[serde(rename = "raisedBy", default, skip_serializing_if = "Option::is_none")]
+    raised_by: Option<u64>,
 }
 
 /// The counter of terms as this version works with it.
@@ -38,6 +41,9 @@
     /// Revision at which an earlier version last took the lead, 0 if none ever did. Such a leader
     /// drops the claims of jobs that it doesn't know.
     pub older_led_at: u64,
+    /// Revision at which the leader took the lead that has raised the counter since, for a fencing
+    /// token; None if it was last raised by taking the lead.
+    pub raised_by: Option<u64>,
 }
 
 impl TermRecord {
@@ -53,6 +59,7 @@
             fenced: value.fenced_term.is_some(),
             // Whoever leaves the field out is an earlier version, which leads since then.
             older_led_at: value.older_led_at.unwrap_or(row.revision),
+            raised_by: value.raised_by,
         })
     }
 
@@ -60,10 +67,26 @@
     pub fn next(self) -> TermRecord {
         TermRecord {
             term: self.term + 1,
+            raised_by: None,
             ..self
         }
     }
 
+    /// The counter once the leader that took the lead at this revision has raised it for a fencing token.
+    pub fn raised(self, lead_revision: u64) -> TermRecord {
+        TermRecord {
+            term: self.term + 1,
+            raised_by: Some(lead_revision),
+            ..self
+        }
+    }
+
+    /// True if this counter, of that revision, was last raised by the leader that took the lead at
+    /// `lead_revision`: by taking the lead, or since.
+    pub fn is_of_leader(self, revision: u64, lead_revision: u64) -> bool {
+        revision == lead_revision || self.raised_by == Some(lead_revision)
+    }
+
     /// The same counter in the form that only this version reads, or in the one that all read.
     pub fn in_form(self, fenced: bool) -> TermRecord {
         TermRecord { fenced, ..self }
@@ -74,6 +97,7 @@
             term: (!self.fenced).then_some(self.term),
             fenced_term: self.fenced.then_some(self.term),
             older_led_at: Some(self.older_led_at),
+            raised_by: self.raised_by,
         })
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cluster;
 pub mod fleet;
 pub mod http;
+pub mod invariants;
 pub mod jobs;
 pub mod leadership;
 pub mod links;
--- a/src/node.rs
+++ b/src/node.rs
@@ -183,6 +183,7 @@
         ClusterConfig {
             teams: site.teams.clone(),
             lease: site.workers.lease(),
+            cancel: Micros::from_secs_f64(site.workers.cancel_s),
             report: site.workers.report(),
             list_lag: Micros::from_secs_f64(site.cloud.list_lag_s),
             sample: self.options.sample as usize,
--- a/src/placement/order.rs
+++ b/src/placement/order.rs
@@ -46,7 +46,7 @@
             .jobs
             .table
             .iter()
-            .filter(|(_, j)| j.outcome.is_none() && !j.cancel_asked && !j.complete())
+            .filter(|(_, j)| j.outcome.is_none() && !j.is_cancel_asked() && !j.complete())
             .collect();
         by_age.sort_by_key(|(id, j)| (j.accepted_at, **id));
         let mut claimed = vec![Room::default(); self.config.teams.len()];
--- a/src/workers/direct.rs
+++ b/src/workers/direct.rs
@@ -1,8 +1,9 @@
 //! Orders that go straight to a worker's address: which may, and what their answers prove.
 
+use super::delivery::{OrderInDoubt, StartDelivery};
 use super::orders::MAX_ORDERS;
 use super::wire::{Order, Report, TaskStatus, Verb};
-use super::{Attempt, AttemptKey, DesiredState, Direct};
+use super::{Attempt, AttemptKey, DesiredState};
 use crate::cluster::Cluster;
 use crate::time::{Micros, Moment};
 
@@ -17,6 +18,8 @@
 pub struct DirectCall {
     pub machine: String,
     pub addr: String,
+    /// The term of the leader that decided on it.
+    pub term: u64,
     pub token: u64,
     pub session: u64,
     pub orders: Vec<Order>,
@@ -56,6 +59,7 @@
 
     fn direct_call(&mut self, name: &str, now: Moment) -> Option<DirectCall> {
         let report = self.config.report;
+        let (term, token) = (self.term, self.token_for(name));
         let machine = self.machines.get_mut(name)?;
         let heard = machine
             .last_report
@@ -74,7 +78,8 @@
             return Some(DirectCall {
                 machine: name.to_string(),
                 addr: machine.addr.clone(),
-                token: self.term,
+                term,
+                token,
                 session: machine.session,
                 orders: Vec::new(),
                 starts: Vec::new(),
@@ -97,7 +102,7 @@
                         && machine.recorded
                         && starts_here
                         && attempt.sent.is_none()
-                        && attempt.direct == Direct::Settled
+                        && !attempt.delivery.may_arrive()
                         && !job.is_closed() =>
                 {
                     Verb::Run
@@ -120,7 +125,7 @@
                 leeway_s,
             });
             if verb == Verb::Run {
-                attempt.direct = Direct::InFlight;
+                attempt.delivery = StartDelivery::InFlight;
                 starts.push(*key);
             } else {
                 attempt.stop_sent = Some(now);
@@ -138,7 +143,8 @@
         Some(DirectCall {
             machine: name.to_string(),
             addr: machine.addr.clone(),
-            token: self.term,
+            term,
+            token,
             session: machine.session,
             orders,
             starts,
@@ -154,7 +160,7 @@
             return;
         };
         let unsent = |a: &Attempt| {
-            a.status.is_none() && a.sent.is_none() && a.direct == Direct::Settled && a.bound
+            a.status.is_none() && a.sent.is_none() && !a.delivery.may_arrive() && a.bound
         };
         let keys: Vec<AttemptKey> = machine
             .attempts
@@ -181,9 +187,15 @@
             return;
         };
         machine.calling = false;
-        let settled = match result {
-            DirectResult::Unknown => Direct::Uncertain { since: call.began },
-            _ => Direct::Settled,
+        let delivery = match result {
+            DirectResult::Unknown => {
+                let order = OrderInDoubt {
+                    token: call.token,
+                    since: call.began,
+                };
+                StartDelivery::unanswered(order, machine.seen_token)
+            }
+            _ => StartDelivery::Settled,
         };
         let lost = matches!(result, DirectResult::Unknown | DirectResult::Unreached);
         match &result {
@@ -195,25 +207,25 @@
                     && r.session == machine.session =>
             {
                 self.dirty |= machine.suspicion.take().is_some();
-                machine.answered_from = machine.answered_from.max(Some(call.began));
             }
             _ => {}
         }
         for key in &call.starts {
             if let Some(attempt) = machine.attempts.get_mut(key) {
-                attempt.direct = settled;
+                attempt.delivery = delivery;
             }
         }
         let answered = matches!(result, DirectResult::Report(_));
         if let DirectResult::Report(report) = result
             && report.machine == call.machine
-            && report.token <= self.term
+            && report.token <= self.fencing.newest()
             && !machine.lost
             && (report.session, report.tick) > (machine.session, machine.tick)
         {
             self.take_in(&report, false, now);
             self.place_soon(now);
         }
+        self.note_delivery(call, delivery, now);
         if lost {
             self.drop_unsent(&call.machine);
         } else if answered && !call.probe {
@@ -222,4 +234,28 @@
             self.direct_due.insert(call.machine.clone());
         }
     }
+
+    /// Keeps count of starts without an answer, and notes where they are in doubt.
+    fn note_delivery(&mut self, call: &DirectCall, delivery: StartDelivery, now: Moment) {
+        if call.starts.is_empty() {
+            return;
+        }
+        self.fencing.counters.calls += 1;
+        if !delivery.may_arrive() {
+            return;
+        }
+        self.fencing.counters.doubts += call.starts.len() as u64;
+        self.fencing.note_doubt(&call.machine, call.token);
+        // A higher token is written by the loop that writes records.
+        self.urgent_rounds = true;
+        for (_, task, attempt) in &call.starts {
+            log::debug!(
+                "start in doubt: machine={} session={} token={} task={task} attempt={attempt} waited_s={:.3}",
+                call.machine,
+                call.session,
+                call.token,
+                (now - call.began).as_secs_f64()
+            );
+        }
+    }
 }
--- a/src/workers/edge.rs
+++ b/src/workers/edge.rs
@@ -97,19 +97,16 @@
         };
         let (term, valid_until) = (lead.term, lead.valid_until);
         match cluster.heartbeat(&report, now) {
-            Heartbeat::Orders(orders) => {
+            Heartbeat::Orders { token, orders } => {
                 self.wake(cluster);
                 drop(core);
-                let body = encode(&Orders {
-                    token: term,
-                    orders,
-                });
+                let body = encode(&Orders { token, orders });
                 Response {
                     valid_until: Some(valid_until),
                     ..Response::new(200, body)
                 }
             }
-            Heartbeat::Stale => Response::busy(1),
+            Heartbeat::Stale | Heartbeat::Withheld => Response::busy(1),
             Heartbeat::Deposed => {
                 log::info!("a worker knows a higher term than {term}");
                 core.step_down = true;
@@ -181,7 +178,7 @@
             let mut core = self.core();
             let now = self.now();
             // Even if the lead is in doubt by now: what is known of the start must be kept.
-            let Some(cluster) = core.cluster.as_mut().filter(|c| c.term == call.token) else {
+            let Some(cluster) = core.cluster.as_mut().filter(|c| c.term == call.term) else {
                 continue;
             };
             cluster.direct_done(&call, result, now);
--- a/src/workers/evidence.rs
+++ b/src/workers/evidence.rs
@@ -1,9 +1,10 @@
 //! What a report proves: which attempts a machine holds, which ended, and which never began.
 
 use super::wire::{Cause, Report, TaskStatus};
-use super::{Attempt, AttemptKey, DesiredState, Direct, Orphan};
-use crate::cluster::{Cluster, LEASE_MARGIN};
-use crate::time::{Micros, Moment, at_most};
+use super::{Attempt, AttemptKey, DesiredState, Orphan};
+use crate::cluster::Cluster;
+use crate::invariants::{self, Invariant};
+use crate::time::{Micros, Moment};
 use std::collections::BTreeSet;
 
 /// A start that is stopped sooner doesn't count as one.
@@ -41,11 +42,13 @@
         machine.total = self.fleet.room_of(&report.type_name);
         machine.recalled = report.recall.is_some();
         machine.recall_at = report.recall.map(|s| now + Micros::from_secs_f64(s.0));
-        if !machine.counted_in && report.token == self.term {
+        machine.seen_token = machine.seen_token.max(report.token);
+        if !machine.counted_in && report.token >= self.term {
             machine.counted_in = true;
             log::debug!("machine {} counted in", machine.name);
             self.dirty = true;
         }
+        self.settle_doubts(&report.machine, now);
         self.apply_tasks(report, by_heartbeat, now);
         self.drain_recalled(&report.machine, now);
     }
@@ -80,6 +83,7 @@
 
     fn apply_tasks(&mut self, report: &Report, by_heartbeat: bool, now: Moment) {
         let name = &report.machine;
+        let is_known = self.machines.get(name).is_some_and(|m| m.known_since < now);
         let cache_gb = self.fleet.cache_of(&report.type_name);
         let mut shown = BTreeSet::new();
         let mut orphans = Vec::new();
@@ -89,6 +93,17 @@
                 .parts()
                 .and_then(|(id, n)| Some((self.jobs.find(id)?, n)));
             let Some((job_id, number)) = job_id else {
+                if is_known && task.status != TaskStatus::Exited && task.attempt >> 32 == self.term
+                {
+                    // This leader decided on it, and let its job go since nothing of it could be left.
+                    invariants::violated(
+                        Invariant::ReleasedWithoutProof,
+                        format_args!(
+                            "machine={name} task={} attempt={}",
+                            task.piece, task.attempt
+                        ),
+                    );
+                }
                 orphans.push(Orphan {
                     piece: task.piece.clone(),
                     attempt: task.attempt,
@@ -114,6 +129,19 @@
             });
             let was = attempt.status;
             attempt.status = Some(task.status);
+            let cancelled = job.cancel_asked_at;
+            if was.is_none()
+                && task.status != TaskStatus::Exited
+                && cancelled.is_some_and(|at| now - at > self.config.cancel)
+            {
+                invariants::violated(
+                    Invariant::CancelledTaskStartedLate,
+                    format_args!(
+                        "machine={name} task={} attempt={}",
+                        task.piece, task.attempt
+                    ),
+                );
+            }
             if task.status == TaskStatus::Running && attempt.running_since.is_none() {
                 attempt.running_since = Some(now);
             }
@@ -190,22 +218,6 @@
             .copied()
             .collect();
         for key in absent {
-            let Some(attempt) = machine.attempts.get(&key) else {
-                continue;
-            };
-            // A direct start without an answer, long after the machine answered a later call: what
-            // the network held back came when the way was free again, so this one never will.
-            // Without an end, a cancelled job would keep its place here.
-            let span = at_most(self.config.lease) + LEASE_MARGIN;
-            if let Direct::Uncertain { since } = attempt.direct
-                && attempt.desired != DesiredState::Run
-                && machine
-                    .answered_from
-                    .is_some_and(|t| t > since && now - t > span)
-                && let Some(attempt) = machine.attempts.get_mut(&key)
-            {
-                attempt.direct = Direct::Settled;
-            }
             let Some(attempt) = machine.attempts.get(&key) else {
                 continue;
             };
@@ -213,10 +225,9 @@
             // the start, the answer that held the start was dropped. The answer of a direct call
             // proves nothing: it may have been made while the heartbeat's answer was on its way.
             let never = match (attempt.status, attempt.sent) {
+                _ if attempt.delivery.may_arrive() => false,
                 (Some(_), _) => true,
-                _ if attempt.direct != Direct::Settled || attempt.desired == DesiredState::Run => {
-                    false
-                }
+                _ if attempt.desired == DesiredState::Run => false,
                 (None, Some(sent)) => by_heartbeat && sent < (report.session, report.tick),
                 (None, None) => true,
             };
@@ -224,7 +235,7 @@
             let lost = by_heartbeat
                 && attempt.status.is_none()
                 && attempt.desired == DesiredState::Run
-                && attempt.direct == Direct::Settled
+                && !attempt.delivery.may_arrive()
                 && attempt
                     .sent
                     .is_some_and(|sent| sent < (report.session, report.tick));
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -1,5 +1,6 @@
 //! What is known of one machine and of the attempts on it.
 
+use super::delivery::StartDelivery;
 use super::wire::TaskStatus;
 use crate::jobs::JobId;
 use crate::placement::Room;
@@ -13,20 +14,6 @@
     Stop { leeway: Micros },
 }
 
-/// What became of a start that went straight to the worker's address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Direct {
-    /// None is under way.
-    Settled,
-    InFlight,
-    /// No answer came to a call that began then. The network may hold the order back and deliver it
-    /// while token and session match: nothing but the session's end frees the task for good, and
-    /// the attempt is never cleared, since a start after `clear` would run it again.
-    Uncertain {
-        since: Moment,
-    },
-}
-
 /// One attempt of a task on one machine, in one session.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -35,7 +22,7 @@
     pub status: Option<TaskStatus>,
     /// The (session, tick) of the report in whose answer the start went out last.
     pub sent: Option<(u64, u64)>,
-    pub direct: Direct,
+    pub delivery: StartDelivery,
     pub stop_sent: Option<Moment>,
     pub placed_at: Moment,
     pub running_since: Option<Moment>,
@@ -52,7 +39,7 @@
             desired: DesiredState::Run,
             status: None,
             sent: None,
-            direct: Direct::Settled,
+            delivery: StartDelivery::Settled,
             stop_sent: None,
             placed_at: now,
             running_since: None,
@@ -147,6 +134,10 @@
     pub total: Room,
     pub session: u64,
     pub tick: u64,
+    /// The token that it is answered with, if it is above the term.
+    pub token: u64,
+    /// The highest token that a report of it told.
+    pub seen_token: u64,
     /// A report carried the current token: no older leader's order can land here any more.
     pub counted_in: bool,
     /// Its lease ran out without a report: nothing is on it.
@@ -171,8 +162,6 @@
     /// Time between its last two heartbeats. A worker that gets no answer tries another controller
     /// first, and comes back later than it would have.
     pub heartbeat_gap: Micros,
-    /// When the last direct call that it answered began.
-    pub answered_from: Option<Moment>,
     pub recalled: bool,
     /// When the cloud takes it away, as last told.
     pub recall_at: Option<Moment>,
@@ -214,6 +203,8 @@
             total,
             session: 0,
             tick: 0,
+            token: 0,
+            seen_token: 0,
             counted_in: false,
             lost: false,
             session_over: false,
@@ -224,7 +215,6 @@
             last_report: None,
             last_heartbeat: None,
             heartbeat_gap: Micros::ZERO,
-            answered_from: None,
             recalled: false,
             recall_at: None,
             attempts: BTreeMap::new(),
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -1,15 +1,18 @@
 //! Workers: their reports, sessions and leases, and the orders that follow from the difference
 //! between what is wanted of a machine and what it reports.
 
+pub mod delivery;
 pub mod direct;
 pub mod edge;
 mod evidence;
+pub mod fencing;
 mod machine;
 mod orders;
 mod sessions;
 pub mod wire;
 
-pub use machine::{Attempt, AttemptKey, DesiredState, Direct, Image, Machine, Orphan, Suspicion};
+pub use delivery::StartDelivery;
+pub use machine::{Attempt, AttemptKey, DesiredState, Image, Machine, Orphan, Suspicion};
 
 use crate::cluster::Cluster;
 use crate::time::{Micros, Moment};
@@ -18,8 +21,10 @@
 /// What a heartbeat is answered with.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Heartbeat {
-    /// 200 with these orders.
-    Orders(Vec<Order>),
+    /// 200 with these orders, under this token.
+    Orders { token: u64, orders: Vec<Order> },
+    /// It must not be answered, so that its session ends.
+    Withheld,
     /// A late or repeated report: it renews nothing.
     Stale,
     /// The worker has seen a higher token than ours.
@@ -29,7 +34,7 @@
 impl Cluster {
     /// Takes in a report and answers with what the machine is to do.
     pub fn heartbeat(&mut self, report: &Report, now: Moment) -> Heartbeat {
-        if report.token > self.term {
+        if report.token > self.fencing.newest() {
             return Heartbeat::Deposed;
         }
         if self.fleet.is_gone(&report.machine) {
@@ -74,15 +79,23 @@
         machine.checked = seen;
         machine.heartbeat_gap = machine.last_heartbeat.map_or(Micros::ZERO, |t| now - t);
         machine.last_heartbeat = Some(now);
-        machine.lease_from = now;
         if (report.session, report.tick) > (machine.session, machine.tick) {
             self.take_in(report, true, now);
         }
         // Else the answer of a direct call overtook this report, whose task list is older than
         // what is known; the answer to it is as good as any.
+        if self.must_withhold(&report.machine, now) {
+            return Heartbeat::Withheld;
+        }
+        if let Some(machine) = self.machines.get_mut(&report.machine) {
+            machine.lease_from = now;
+        }
         self.review_suspicion(&report.machine, now);
         self.release_seen(now);
         self.place_soon(now);
-        Heartbeat::Orders(self.orders(&report.machine, now))
+        Heartbeat::Orders {
+            token: self.token_for(&report.machine),
+            orders: self.orders(&report.machine, now),
+        }
     }
 }
--- a/src/workers/orders.rs
+++ b/src/workers/orders.rs
@@ -1,7 +1,7 @@
 //! The orders for one machine: the difference between what is wanted and what it reports.
 
+use super::DesiredState;
 use super::wire::{Order, TaskStatus, Verb};
-use super::{DesiredState, Direct};
 use crate::cluster::Cluster;
 use crate::time::{Micros, Moment};
 
@@ -47,7 +47,7 @@
             };
             match (attempt.status, attempt.desired) {
                 // The worker's memory is the second copy of an outcome until it is recorded.
-                (Some(TaskStatus::Exited), _) if attempt.direct != Direct::Settled => {}
+                (Some(TaskStatus::Exited), _) if attempt.delivery.may_arrive() => {}
                 (Some(TaskStatus::Exited), _) if !may_release => {}
                 (Some(TaskStatus::Exited), _)
                     if !attempt.done || job.recorded.contains(key.1) || job.outcome.is_some() =>
@@ -69,7 +69,7 @@
                 }
                 (None, DesiredState::Run) => {
                     if job.is_closed() {
-                        if attempt.sent.is_none() && attempt.direct == Direct::Settled {
+                        if attempt.sent.is_none() && !attempt.delivery.may_arrive() {
                             dropped.push(*key);
                         } else {
                             attempt.desired = DesiredState::Stop {
@@ -78,7 +78,7 @@
                         }
                         continue;
                     }
-                    if is_suspected && attempt.sent.is_none() && attempt.direct == Direct::Settled {
+                    if is_suspected && attempt.sent.is_none() && !attempt.delivery.may_arrive() {
                         // It was never sent: it can start elsewhere.
                         dropped.push(*key);
                         continue;
@@ -90,7 +90,7 @@
                     starts.push(order(Verb::Run, None));
                 }
                 (None, DesiredState::Stop { .. })
-                    if attempt.sent.is_none() && attempt.direct == Direct::Settled =>
+                    if attempt.sent.is_none() && !attempt.delivery.may_arrive() =>
                 {
                     dropped.push(*key);
                 }
--- a/src/workers/sessions.rs
+++ b/src/workers/sessions.rs
@@ -28,7 +28,11 @@
         };
         machine.rooms.set(None);
         machine.orphans.clear();
+        self.fencing.forget(name);
         for (key, attempt) in std::mem::take(&mut machine.attempts) {
+            if attempt.delivery.in_doubt().is_some() {
+                self.fencing.counters.ended_by_session += 1;
+            }
             if attempt.holds()
                 && let Some(job) = self.jobs.table.get_mut(&key.0)
             {
--- a/tests/common/trace.rs
+++ b/tests/common/trace.rs
@@ -19,7 +19,10 @@
     pub cluster: Cluster,
     pub log: String,
     pub now: Moment,
+    /// The state service takes higher tokens.
+    pub raises_tokens: bool,
     ticks: BTreeMap<String, u64>,
+    told: BTreeMap<String, u64>,
     epoch: u64,
 }
 
@@ -101,6 +104,7 @@
         let config = ClusterConfig {
             teams,
             lease: Micros::from_secs(20),
+            cancel: Micros::from_secs(46),
             report: Micros::from_secs(3),
             list_lag: Micros::from_secs(5),
             sample: 3,
@@ -120,7 +124,9 @@
             cluster,
             log: String::new(),
             now: at(0.0),
+            raises_tokens: true,
             ticks: BTreeMap::new(),
+            told: BTreeMap::new(),
             epoch: 100,
         }
     }
@@ -185,11 +191,17 @@
     }
 
     pub fn heartbeat(&mut self, machine: &str, tasks: &[&str]) -> &mut Self {
-        let term = self.cluster.term;
-        let report = self.report(machine, term, 1, tasks);
+        let token = self.token_of(machine);
+        let report = self.report(machine, token, 1, tasks);
         self.send(&report)
     }
 
+    /// The highest token that a worker which takes every answer has seen.
+    fn token_of(&self, machine: &str) -> u64 {
+        let told = self.told.get(machine).copied();
+        told.unwrap_or(self.cluster.term)
+    }
+
     pub fn send(&mut self, report: &Report) -> &mut Self {
         self.send_to(report);
         self
@@ -202,12 +214,24 @@
         self.record_fleet();
         let answer = self.cluster.heartbeat(report, self.now);
         let token = match answer {
-            Heartbeat::Orders(_) => Some(self.cluster.term),
+            Heartbeat::Orders { token, .. } => Some(token),
             _ => None,
         };
+        if let Some(token) = token {
+            self.told.insert(report.machine.clone(), token);
+        }
         let text = match answer {
-            Heartbeat::Orders(orders) if orders.is_empty() => "nothing to do".to_string(),
-            Heartbeat::Orders(orders) => orders.iter().map(show).collect::<Vec<_>>().join(", "),
+            Heartbeat::Orders { token, orders } => {
+                let orders: Vec<String> = orders.iter().map(show).collect();
+                let text = match orders.is_empty() {
+                    true => "nothing to do".to_string(),
+                    false => orders.join(", "),
+                };
+                match token == self.cluster.term {
+                    true => text,
+                    false => format!("{text} (token {token})"),
+                }
+            }
             other => format!("{other:?}"),
         };
         let tasks: Vec<String> = report
@@ -235,8 +259,18 @@
         token
     }
 
+    /// Puts a higher token on record, if one is wanted.
+    fn raise_token(&mut self) {
+        if self.raises_tokens && self.cluster.token_raise_due(self.now) {
+            let token = self.cluster.fencing.newest() + 1;
+            self.cluster.token_raised(token, self.now);
+            self.note(&format!("token {token} is on record"));
+        }
+    }
+
     /// Writes what starts wait for.
     pub fn record_fleet(&mut self) {
+        self.raise_token();
         let mut writes = self.cluster.due_claims();
         writes.extend(self.cluster.due_roster(true));
         for write in &writes {
@@ -427,7 +461,7 @@
         report.tasks = running.chain(done).collect();
         let answer = self.cluster.heartbeat(&report, self.now);
         self.record_fleet();
-        let Heartbeat::Orders(orders) = answer else {
+        let Heartbeat::Orders { orders, .. } = answer else {
             panic!("{answer:?}");
         };
         for order in orders {
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -89,6 +89,7 @@
         let config = ClusterConfig {
             teams: vec![team("quick", 420.0), team("bulk", 1200.0)],
             lease: Micros::from_secs(21),
+            cancel: Micros::from_secs(46),
             report: Micros::from_secs(3),
             list_lag: Micros::from_secs(8),
             sample: 3,
@@ -262,7 +263,8 @@
             self.heartbeats += 1;
             let body = self.report(&name);
             let report: Report = decode(&body).unwrap();
-            let Heartbeat::Orders(orders) = self.cluster.heartbeat(&report, self.now()) else {
+            let Heartbeat::Orders { orders, .. } = self.cluster.heartbeat(&report, self.now())
+            else {
                 panic!("{name} is turned away");
             };
             let answer = encode(&Orders {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -233,6 +233,8 @@
 #[test]
 fn unanswered_direct_start() {
     let mut w = World::new(2, one_team());
+    // Else the start would be fenced off, and could not show up any more.
+    w.raises_tokens = false;
     w.heartbeat("big-east-1", &[]);
     w.heartbeat("big-east-2", &[]);
     w.at(0.5).job(submission("run-1", |s| s.pieces = 1));
@@ -244,7 +246,7 @@
         .find(|m| m.busy())
         .map(|m| m.name.clone())
         .unwrap();
-    w.cluster.ask_cancel("run-1");
+    w.cluster.ask_cancel("run-1", w.now);
     w.round(true).view("run-1");
     w.at(3.0).heartbeat(&name, &[]);
     w.at(6.0).heartbeat(&name, &[]).bound();
@@ -267,7 +269,7 @@
     w.at(6.0)
         .heartbeat("big-east-1", &["run-1/1#2.2 running"])
         .bound();
-    w.cluster.ask_cancel("run-1");
+    w.cluster.ask_cancel("run-1", w.now);
     w.round(true);
     w.at(9.0)
         .heartbeat("big-east-1", &["run-1/1#2.2 running"])
@@ -288,8 +290,8 @@
     w.at(3.0).heartbeat("big-east-1", &[]);
     w.at(6.0)
         .heartbeat("big-east-1", &["run-1/0#2.1 done", "run-2/0#2.2 running"]);
-    w.cluster.ask_cancel("run-1");
-    w.cluster.ask_cancel("run-2");
+    w.cluster.ask_cancel("run-1", w.now);
+    w.cluster.ask_cancel("run-2", w.now);
     w.view("run-1").view("run-2");
     w.at(6.1).round(true).view("run-1").view("run-2");
     w.at(7.0)
@@ -425,7 +427,7 @@
     }
     let remaining = next.cluster.jobs.get("run-1").unwrap().remaining();
     w.note(&format!("the next leader finds {remaining} tasks left"));
-    w.cluster.ask_cancel("run-1");
+    w.cluster.ask_cancel("run-1", w.now);
     w.round(true);
     // More chunks than a transaction holds: they go in steps, the final record last.
     w.round(true).round(true).view("run-1");
@@ -885,8 +887,8 @@
     w.at(2.0).rentals();
     w.at(9.0).heartbeat("big-east-7", &[]);
     w.at(10.0).heartbeat("big-east-7", &["run-1/0#4.1 running"]);
-    w.cluster.ask_cancel("run-1");
-    w.cluster.ask_cancel("run-1");
+    w.cluster.ask_cancel("run-1", w.now);
+    w.cluster.ask_cancel("run-1", w.now);
     let writes = w.cluster.due_finals(12);
     w.round(true).view("run-1");
     // The same transaction again fails on its revision; what is read back changes nothing.
@@ -928,7 +930,7 @@
     assert!(matches!(writes[0].kind, WriteKind::Claims(_)));
     assert_eq!((writes.len(), changes, left), (6, 11, 1));
     // A large write that must wait isn't passed by later, smaller ones.
-    w.cluster.ask_cancel("run-99");
+    w.cluster.ask_cancel("run-99", w.now);
     let due = w.cluster.due_finals(12);
     assert_eq!(affordable(due, &mut 1).len(), 0);
 }
@@ -944,7 +946,7 @@
     w.at(3.0).heartbeat("big-east-1", &[]);
     w.at(6.0).heartbeat("big-east-1", &["run-1/0#2.1 running"]);
     w.view("run-1");
-    w.cluster.ask_cancel("run-1");
+    w.cluster.ask_cancel("run-1", w.now);
     let writes = w.cluster.due_finals(12);
     w.cluster.sending(&writes);
     w.note("the cancellation is sent").view("run-1");
@@ -1017,7 +1019,8 @@
     w.job(submission("run-1", |s| s.pieces = 1));
     w.at(3.0).heartbeat("big-east-1", &[]);
     w.at(4.0).heartbeat("big-east-1", &["run-1/0#2.1 running"]);
-    w.at(9.9).cluster.ask_cancel("run-1");
+    w.at(9.9);
+    w.cluster.ask_cancel("run-1", w.now);
     w.direct(|w| DirectResult::Report(w.report("big-east-1", 2, 1, &["run-1/0#2.1 stopped"])));
     w.at(10.2).job(submission("run-2", |s| s.pieces = 1));
     w.tick(10.5).direct(|_| DirectResult::Unknown).bound();
@@ -1085,7 +1088,7 @@
     w.tick(1.0);
     let call = w.cluster.next_direct(at(1.0)).unwrap();
     w.note("a direct call with its starts is under way");
-    w.cluster.ask_cancel("run-1");
+    w.cluster.ask_cancel("run-1", w.now);
     w.at(1.1).round(true);
     let report = w.report(
         "big-east-1",
@@ -1102,22 +1105,22 @@
     });
     w.at(2.0).round(true);
     w.job(submission("run-2", |s| s.pieces = 1));
-    w.cluster.ask_cancel("run-2");
+    w.cluster.ask_cancel("run-2", w.now);
     w.note("run-2 is cancelled before anything of it starts")
         .round(true);
     assert_snapshot!(w.log);
 }
 
 /// A start got no answer and was never delivered, its job is cancelled, and the machine is well: once
-/// it has answered a later call and a lease has passed, the start will not come any more. Else the
-/// cancelled job would keep its place there for good.
+/// it tells a higher token than the order's it will refuse the order. Else the cancelled job would keep
+/// its place there for good.
 #[test]
 fn an_undelivered_start_has_an_end() {
     let mut w = World::new(2, one_team());
     w.heartbeat("big-east-1", &[]);
     w.at(0.5).job(submission("run-1", |s| s.pieces = 1));
     w.tick(1.0).direct(|_| DirectResult::Unknown);
-    w.cluster.ask_cancel("run-1");
+    w.cluster.ask_cancel("run-1", w.now);
     w.at(1.1).round(true);
     w.at(4.0).heartbeat("big-east-1", &[]);
     w.direct(|w| DirectResult::Report(w.report("big-east-1", 2, 1, &[])));
@@ -1189,7 +1192,7 @@
     w.at(69.0)
         .heartbeat("big-east-1", &["run-1/1#2.2 running"])
         .bound();
-    w.cluster.ask_cancel("run-1");
+    w.cluster.ask_cancel("run-1", w.now);
     w.at(70.0).round(true).view("run-1");
     assert_snapshot!(w.log);
 }
--- a/tests/traces/orders.rs
+++ b/tests/traces/orders.rs
@@ -2,6 +2,7 @@
 
 use crate::trace::{World, submission, team};
 use aspenreel::workers::direct::DirectResult;
+use insta::assert_snapshot;
 
 /// As long as a cancellation may take, in the trace's settings.
 const CANCEL_S: f64 = 46.0;
@@ -71,7 +72,7 @@
         session: 1,
     };
     w.at(2.0);
-    w.cluster.ask_cancel("run-1");
+    w.cluster.ask_cancel("run-1", w.now);
     w.round(true);
     for second in (3..=72).step_by(3) {
         worker.heartbeat(&mut w, f64::from(second), &[]);
@@ -116,3 +117,51 @@
         );
     }
 }
+
+/// The state service takes no higher token. Then the worker gets no answers from the moment at which a
+/// lease just fits into the time for the cancellation, and the order's session ends.
+#[test]
+fn a_start_that_cannot_be_fenced_off_ends_with_its_session() {
+    let mut w = World::new(2, vec![team("a", 64.0, 64.0)]);
+    w.raises_tokens = false;
+    let mut worker = Worker::new("big-east-1");
+    worker.heartbeat(&mut w, 0.0, &[]);
+    w.at(0.5).job(submission("run-1", |s| s.pieces = 1));
+    w.tick(1.0).direct(|_| DirectResult::Unknown);
+    let held = HeldOrder {
+        token: 2,
+        session: 1,
+    };
+    w.at(2.0);
+    w.cluster.ask_cancel("run-1", w.now);
+    w.round(true);
+    for second in (6..=54).step_by(4) {
+        let second = f64::from(second);
+        worker.heartbeat(&mut w, second, &[]);
+        w.tick(second);
+        assert!(second < 2.0 + CANCEL_S || !worker.executes(held));
+    }
+    w.round(true);
+    assert_snapshot!(w.log);
+}
+
+/// A start is under way when its machine gets a higher token for another one. Its call ends without an
+/// answer after the worker has told that token: nothing is in doubt, and no third token is needed.
+#[test]
+fn a_call_that_ends_after_the_worker_saw_a_higher_token_leaves_no_doubt() {
+    let mut w = World::new(2, vec![team("a", 64.0, 64.0)]);
+    let mut worker = Worker::new("big-east-1");
+    worker.heartbeat(&mut w, 0.0, &[]);
+    w.at(0.5).job(submission("run-1", |s| s.pieces = 1));
+    w.tick(1.0);
+    let call = w.cluster.next_direct(w.now).unwrap();
+    assert_eq!(call.token, 2);
+    w.cluster.token_raised(3, w.now);
+    worker.token = 3;
+    worker.heartbeat(&mut w, 2.0, &[]);
+    w.cluster.direct_done(&call, DirectResult::Unknown, w.now);
+    assert_eq!(w.cluster.fencing.doubted(), 0);
+    worker.heartbeat(&mut w, 5.0, &[]);
+    w.bound();
+    assert_snapshot!(w.log);
+}
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -181,6 +181,7 @@
         term: 6,
         fenced: false,
         older_led_at: 70,
+        raised_by: None,
     };
     assert_eq!(found, expected, "who leaves the field out led then");
     assert_eq!(TermRecord::read(None).unwrap(), TermRecord::default());
@@ -197,6 +198,44 @@
     assert!(TermRecord::read(Some(&row(to_value(&"odd")))).is_err());
 }
 
+/// A counter that its leader raised for a fencing token: earlier versions read the number and lead under the
+/// next one; this version tells who raised it, so that earlier versions can still be fenced off.
+#[test]
+fn a_raised_counter_of_terms() {
+    #[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+    struct Production {
+        term: u64,
+    }
+    let row = |data| Row {
+        key: "term".into(),
+        data,
+        revision: 90,
+    };
+    let read = |data| TermRecord::read(Some(&row(data))).unwrap();
+    let taken = TermRecord {
+        term: 7,
+        fenced: false,
+        older_led_at: 12,
+        raised_by: None,
+    };
+    // Without a raise the bytes are what they were.
+    let kept = "a2647465726d076a6f6c6465724c656441740c";
+    assert_eq!(hex(&encode(&taken.to_value())), kept);
+
+    let raised = taken.raised(80);
+    assert_eq!(read(raised.to_value()), raised);
+    let as_production = from_value::<Production>(&raised.to_value());
+    assert_eq!(as_production, Some(Production { term: 8 }));
+
+    // The leader that took the lead at 80 raised it, not another one.
+    assert!(raised.is_of_leader(90, 80) && !raised.is_of_leader(90, 85));
+    assert!(taken.is_of_leader(80, 80) && !taken.is_of_leader(90, 80));
+    // Its form may change meanwhile; the next leader goes on from there.
+    assert!(raised.in_form(true).is_of_leader(95, 80));
+    let next = raised.next();
+    assert_eq!((next.term, next.raised_by), (9, None));
+}
+
 /// What an earlier landing (43046cd) writes beside what the version in production does: a standing job, and
 /// the format that it states and sets. Kept byte by byte as that version wrote them; read and written just so.
 #[test]
