--- a/crates/testbed/src/relay.rs
+++ b/crates/testbed/src/relay.rs
@@ -3,7 +3,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How often a blocked direction looks whether it is open again.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
@@ -18,6 +18,9 @@
     Blocked,
     /// It arrives later.
     Delayed(Duration),
+    /// What is sent to the target is held back for so long, also after the sender has given up and closed the
+    /// connection, and delivered once, on a connection of its own. Nobody gets the answer.
+    Late(Duration),
     /// Connections are reset.
     Reset,
 }
@@ -35,7 +38,7 @@
     directions: Arc<Mutex<Directions>>,
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Direction {
     There,
     Back,
@@ -106,7 +109,14 @@
                     continue;
                 }
                 Traffic::Reset => break,
-                Traffic::Passes | Traffic::Delayed(_) => {}
+                Traffic::Late(time) if direction == Direction::There => {
+                    if let Ok(target) = to.peer_addr() {
+                        deliver_late(from, target, time);
+                    }
+                    let _ = to.shutdown(Shutdown::Both);
+                    return;
+                }
+                Traffic::Passes | Traffic::Delayed(_) | Traffic::Late(_) => {}
             }
             let count = match from.read(&mut buffer) {
                 Ok(0) => break,
@@ -135,3 +145,31 @@
         }
     }
 }
+
+/// Takes whatever comes until the sender gives up, and delivers it when the time is over.
+fn deliver_late(mut from: TcpStream, target: SocketAddr, time: Duration) {
+    let mut held = Vec::new();
+    let mut buffer = [0; 16 * 1024];
+    let mut due = None;
+    loop {
+        match from.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(count) => {
+                due.get_or_insert(Instant::now() + time);
+                held.extend_from_slice(&buffer[..count]);
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(_) => break,
+        }
+    }
+    let Some(due) = due else { return };
+    std::thread::sleep(due.saturating_duration_since(Instant::now()));
+    let Ok(mut to) = TcpStream::connect_timeout(&target, CONNECT_TIME) else {
+        return;
+    };
+    if to.write_all(&held).is_ok() {
+        // The worker executes it before it answers.
+        let _ = to.set_read_timeout(Some(CONNECT_TIME));
+        let _ = to.read(&mut buffer);
+    }
+}
--- a/tests/service/held_commands.rs
+++ b/tests/service/held_commands.rs
@@ -19,7 +19,7 @@
     users.cancels_one_in(2);
     users.busy_for(Duration::from_millis(2500));
     let leader = cluster.leader();
-    cluster.hold_commands(leader, Traffic::Delayed(held));
+    cluster.hold_commands(leader, Traffic::Late(held));
     users.busy_for(Duration::from_secs(8));
     cluster.hold_commands(leader, Traffic::Passes);
     users.busy_for(held + BEYOND);
