Orders in the log, counters of orders in doubt, and a wave of cancellations among 300 machines

Each order that is sent, each direct call's result, each doubt and how it ended, each attempt let go and each job retired is one key=value line at debug; sessions that end and heartbeats withheld are at info; the counters stand in a line every 10 s.

--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -15,6 +15,7 @@
 use aspenreel::node::Node;
 use aspenreel::settings::Settings;
 use aspenreel::state_store::{from_value, to_value};
+use aspenreel::workers::fencing::OrderCounters;
 use aspenreel::workers::wire::Report;
 use ciborium::cbor;
 use clap::Parser;
@@ -548,6 +549,7 @@
             questions_in_vain: state.checker.questions_in_vain,
             turnaround_s: state.checker.turnaround_s(),
             seconds: self.now() / 1_000_000,
+            orders: order_counters(&state.nodes),
         };
         drop(state);
         self.sched.end();
@@ -575,6 +577,12 @@
     }
 }
 
+fn order_counters(nodes: &[NodeState]) -> OrderCounters {
+    let counters = |node: &Arc<Node>| Some(node.core().cluster.as_ref()?.fencing.counters);
+    let running = nodes.iter().filter_map(|n| n.node.as_ref());
+    running.filter_map(counters).next().unwrap_or_default()
+}
+
 /// Starts that machines saw: when, and in which term they were decided.
 #[derive(Clone)]
 pub struct Starts(pub Vec<(Time, u64)>);
@@ -604,6 +612,8 @@
     /// From each accepted job's submission until its user knew that it is done.
     pub turnaround_s: Vec<f64>,
     pub seconds: u64,
+    /// What the last leader counted of its orders.
+    pub orders: OrderCounters,
 }
 
 impl Summary {
--- a/src/cluster/views.rs
+++ b/src/cluster/views.rs
@@ -1,6 +1,7 @@
 //! What the leader tells of jobs and of its machines.
 
 use super::Cluster;
+use crate::invariants::violations;
 use crate::jobs::{Deciding, JobId, JobView, Known, ViewState};
 use crate::time::Moment;
 use crate::workers::DesiredState;
@@ -42,6 +43,23 @@
             .count() as u32
     }
 
+    /// One line on orders that went straight to workers, and those in doubt.
+    pub fn order_summary(&self) -> String {
+        let counters = &self.fencing.counters;
+        format!(
+            "orders: direct_calls={} starts_in_doubt={} ended_by_token={} ended_by_session={} \
+             machines_in_doubt={} tokens_raised={} heartbeats_withheld={} invariants_violated={}",
+            counters.calls,
+            counters.doubts,
+            counters.ended_by_token,
+            counters.ended_by_session,
+            self.fencing.doubted(),
+            counters.raises,
+            counters.withheld,
+            violations()
+        )
+    }
+
     /// One line on where the CPUs are, for whoever wonders why work waits.
     pub fn summary(&self, now: Moment) -> String {
         let (mut total, mut free, mut unusable) = (0, 0, 0);
--- a/src/jobs/rounds.rs
+++ b/src/jobs/rounds.rs
@@ -319,6 +319,7 @@
                 format_args!("job={id} reason=retired"),
             );
         }
+        log::debug!("job retired: job={id} term={}", self.term);
         self.jobs.remove(job_id);
         self.claims.remove(id);
         self.awaiting_claim.remove(&job_id);
--- a/src/leadership/edge.rs
+++ b/src/leadership/edge.rs
@@ -112,7 +112,13 @@
     }
 
     fn lead(&self, lead: Lead) {
-        log::info!("leading term {}", lead.term);
+        log::info!(
+            "leading: term={} token={} revision={} lease={}",
+            lead.term,
+            lead.term,
+            lead.revision,
+            lead.lease
+        );
         let started = self.now();
         let lease = lead.lease;
         {
@@ -133,7 +139,13 @@
         let mut renewed = started;
         let mut cluster = self.load(&lead, started, &mut renewed);
         if let Some(cluster) = cluster.take() {
-            log::info!("term {}: {} jobs read", lead.term, cluster.jobs.table.len());
+            log::info!(
+                "records read: term={} jobs={} jobs_revision={} machines_unseen={}",
+                lead.term,
+                cluster.jobs.table.len(),
+                self.core().jobs_revision,
+                cluster.unseen.len()
+            );
             {
                 let mut core = self.core();
                 core.cluster = Some(cluster);
@@ -170,7 +182,7 @@
             core.step_down = false;
         }
         self.changed.notify_all();
-        log::info!("term {} is over", lead.term);
+        log::info!("lead over: term={}", lead.term);
         // Nobody can lead before the lease has ended, so ending it is worth a few tries.
         for _ in 0..5 {
             if self.store.end_lease(lease).is_ok() {
--- a/src/node.rs
+++ b/src/node.rs
@@ -297,6 +297,7 @@
                 if log::log_enabled!(log::Level::Debug) && now - told > SUMMARY_EVERY {
                     told = now;
                     log::debug!("{}", cluster.summary(now));
+                    log::debug!("{}", cluster.order_summary());
                 }
                 self.wake(cluster);
                 let unheard = acting_since.is_some_and(|since| cluster.unheard(since, now));
--- a/src/workers/absence.rs
+++ b/src/workers/absence.rs
@@ -1,5 +1,6 @@
 //! Attempts that a report doesn't show: which never began, which are gone, and which may yet begin.
 
+use super::order_log::note_release;
 use super::wire::Report;
 use super::{Attempt, AttemptKey, DesiredState};
 use crate::cluster::Cluster;
@@ -72,6 +73,11 @@
             let Some(attempt) = machine.attempts.remove(&key) else {
                 continue;
             };
+            let why = match absence {
+                Absence::Lost => "start_lost_with_its_answer",
+                _ => "not_in_report",
+            };
+            note_release(&report.machine, key.1, key.2, why, attempt.placed_at, now);
             if attempt.holds()
                 && let Some(job) = self.jobs.table.get_mut(&key.0)
             {
--- a/src/workers/direct.rs
+++ b/src/workers/direct.rs
@@ -1,6 +1,7 @@
 //! Orders that go straight to a worker's address: which may, and what their answers prove.
 
 use super::delivery::{OrderInDoubt, StartDelivery};
+use super::order_log::{OrderPath, Recipient, note_orders, note_result};
 use super::orders::MAX_ORDERS;
 use super::wire::{Order, Report, TaskStatus, Verb};
 use super::{Attempt, AttemptKey, DesiredState};
@@ -50,6 +51,12 @@
         }
         while let Some(name) = self.direct_due.pop_first() {
             if let Some(call) = self.direct_call(&name, now) {
+                let to = Recipient {
+                    machine: &call.machine,
+                    session: call.session,
+                    token: call.token,
+                };
+                note_orders(OrderPath::Direct, &to, &call.orders);
                 self.calls.push(call.began);
                 return Some(call);
             }
@@ -183,6 +190,7 @@
         if let Some(at) = self.calls.iter().position(|t| *t == call.began) {
             self.calls.swap_remove(at);
         }
+        note_result(call, &result, (now - call.began).as_secs_f64());
         let Some(machine) = self.machines.get_mut(&call.machine) else {
             return;
         };
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -9,6 +9,7 @@
 mod exits;
 pub mod fencing;
 mod machine;
+mod order_log;
 mod orders;
 mod sessions;
 pub mod wire;
@@ -18,6 +19,7 @@
 
 use crate::cluster::Cluster;
 use crate::time::{Micros, Moment};
+use order_log::{OrderPath, Recipient, note_orders};
 use wire::{Order, Report};
 
 /// What a heartbeat is answered with.
@@ -95,9 +97,14 @@
         self.review_suspicion(&report.machine, now);
         self.release_seen(now);
         self.place_soon(now);
-        Heartbeat::Orders {
-            token: self.token_for(&report.machine),
-            orders: self.orders(&report.machine, now),
-        }
+        let token = self.token_for(&report.machine);
+        let orders = self.orders(&report.machine, now);
+        let to = Recipient {
+            machine: &report.machine,
+            session: report.session,
+            token,
+        };
+        note_orders(OrderPath::HeartbeatAnswer, &to, &orders);
+        Heartbeat::Orders { token, orders }
     }
 }
--- a/src/workers/sessions.rs
+++ b/src/workers/sessions.rs
@@ -53,7 +53,11 @@
             .collect();
         for name in expired {
             if let Some(machine) = self.machines.get_mut(&name) {
-                log::info!("machine {name}: lease over");
+                log::info!(
+                    "session over: machine={name} session={} reason=lease renewed_s_ago={:.3}",
+                    machine.session,
+                    (now - machine.lease_from).as_secs_f64()
+                );
                 machine.lost = true;
                 machine.session_over = true;
                 machine.idle_since = None;
--- a/tests/model/orders.rs
+++ b/tests/model/orders.rs
@@ -3,7 +3,7 @@
 
 use aspenreel_testbed::plans::*;
 use aspenreel_testbed::play::play;
-use aspenreel_testbed::world::CANCEL_S;
+use aspenreel_testbed::world::{CANCEL_S, Setup};
 
 /// Jobs are cancelled while their starts are on the way. Whatever arrives late starts nothing.
 #[test]
@@ -46,7 +46,7 @@
 /// its right lapsed.
 #[test]
 fn commands_are_held_while_work_is_preempted() {
-    let site = aspenreel_testbed::world::Setup {
+    let site = Setup {
         capacity: 5,
         machines: vec![("small", "east", true, 3), ("small", "west", true, 2)],
         ..setup()
@@ -64,3 +64,34 @@
         assert!(end.done > 40, "{end:?}");
     }
 }
+
+/// Every direct order to hundreds of machines is held, and all jobs are cancelled at once: few tokens fence
+/// all of them off, and no session ends for it.
+#[test]
+fn a_wave_of_cancellations_ends_no_session() {
+    let site = Setup {
+        capacity: 300,
+        machines: vec![("small", "east", true, 150), ("small", "west", true, 150)],
+        teams: vec![("a", 2400.0), ("b", 24.0)],
+        ..setup()
+    };
+    let ends = play(2, &site, |w, _| {
+        w.at(8.0, |w| {
+            w.hold_commands(1.0, CANCEL_S + 4.0..CANCEL_S + 20.0, 12.0)
+        });
+        let ids = jobs(w, 10.0, 14.0, 40, |_, p| {
+            p.tasks = 7;
+            p.cpus = 8.0;
+            p.run_s = 30.0;
+        });
+        for id in ids {
+            w.at(16.0, move |w| w.user_cancels(&id));
+        }
+    });
+    for end in ends {
+        assert!(end.orders.doubts > 10 && end.cancelled > 30, "{end:?}");
+        assert!(end.orders.raises <= 3, "{end:?}");
+        let for_doubt = (end.orders.withheld, end.orders.ended_by_session);
+        assert_eq!(for_doubt, (0, 0), "{end:?}");
+    }
+}
--- a/tests/traces/orders.rs
+++ b/tests/traces/orders.rs
@@ -165,3 +165,42 @@
     w.bound();
     assert_snapshot!(w.log);
 }
+
+/// Hundreds of machines have starts in doubt: one token fences off all of them, and each is free again at the
+/// heartbeat after the one that brought it.
+#[test]
+fn one_token_fences_off_hundreds_of_machines() {
+    const MACHINES: u32 = 300;
+    let mut w = World::new(2, vec![team("a", 1e6, 1e6)]);
+    w.raises_tokens = false;
+    let names: Vec<String> = (0..MACHINES).map(|n| format!("big-east-{n}")).collect();
+    for name in &names {
+        w.heartbeat(name, &[]);
+    }
+    w.at(0.5).job(submission("run-1", |s| {
+        s.pieces = u64::from(MACHINES);
+        s.cpus = trace_cpus();
+    }));
+    w.tick(1.0);
+    while w.cluster.fencing.doubted() < MACHINES as usize {
+        w.direct(|_| DirectResult::Unknown);
+    }
+    w.cluster.ask_cancel("run-1", w.now);
+    w.raises_tokens = true;
+    for name in &names {
+        w.at(2.0).heartbeat(name, &[]);
+    }
+    assert_eq!(w.cluster.fencing.counters.raises, 1);
+    for name in &names {
+        w.at(5.0).heartbeat(name, &[]);
+    }
+    let counters = w.cluster.fencing.counters;
+    assert_eq!((w.cluster.fencing.doubted(), counters.raises), (0, 1));
+    assert_eq!(counters.ended_by_token, u64::from(MACHINES));
+    assert!(w.cluster.machines.values().all(|m| !m.busy()));
+}
+
+/// A task takes all of a machine.
+fn trace_cpus() -> aspenreel::http::cbor::Decimal {
+    crate::trace::decimal(32.0)
+}
