--- a/crates/soak/src/controllers.rs
+++ b/crates/soak/src/controllers.rs
@@ -11,21 +11,31 @@
 /// The word by which a line of the log tells of a violated invariant.
 const VIOLATION: &str = "invariant violated";
 
-/// Starts a controller of `program` whose log goes to a file.
-pub fn spawn(program: &Path, config: &Path, log: &Path) -> Child {
+/// What the processes of a run are started with.
+#[derive(Clone, Debug)]
+pub struct Launch {
+    /// The controllers' program.
+    pub program: PathBuf,
+    /// Its flags beside those that every test gives.
+    pub flags: &'static [&'static str],
+}
+
+/// Starts a controller whose log goes to a file.
+pub fn spawn(launch: &Launch, config: &Path) -> Child {
+    let log = log_of(config);
     let file = OpenOptions::new().create(true).append(true).open(log);
     let stderr = file.map_or(Stdio::inherit(), Stdio::from);
-    spawn_with(program, config, &[], "error", stderr)
+    spawn_with(&launch.program, config, launch.flags, "error", stderr)
 }
 
 /// The file that takes the log of the process with this settings file.
-pub fn log_of(config: &Path) -> PathBuf {
+fn log_of(config: &Path) -> PathBuf {
     config.with_extension("log")
 }
 
 /// The running processes. They end when this is dropped.
 pub struct Controllers {
-    program: PathBuf,
+    launch: Launch,
     configs: Vec<PathBuf>,
     children: Mutex<Vec<Child>>,
     /// Which of them were not killed.
@@ -34,9 +44,9 @@
 
 impl Controllers {
     /// Takes over processes that run already.
-    pub fn new(program: &Path, configs: &[PathBuf], children: Vec<Child>) -> Controllers {
+    pub fn new(launch: Launch, configs: &[PathBuf], children: Vec<Child>) -> Controllers {
         Controllers {
-            program: program.into(),
+            launch,
             configs: configs.to_vec(),
             running: Mutex::new(vec![true; children.len()]),
             children: Mutex::new(children),
@@ -66,7 +76,7 @@
     /// Starts a killed process again.
     pub fn start(&self, node: usize) {
         let config = &self.configs[node];
-        let child = spawn(&self.program, config, &log_of(config));
+        let child = spawn(&self.launch, config);
         self.children()[node] = child;
         self.running()[node] = true;
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -87,7 +87,8 @@
 
 fn tell(seed: u64, report: &RunReport) {
     println!(
-        "seed {seed}: {} starts, {} jobs done, {} cancelled, {} broken, {} s",
+        "seed {seed}: {} machines, {} starts, {} jobs done, {} cancelled, {} broken, {} s",
+        report.machines,
         report.starts,
         report.done,
         report.cancelled,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -41,6 +41,8 @@
 pub struct RunReport {
     /// Broken rules, violated invariants, and processes that ended by themselves.
     pub broken: Vec<String>,
+    /// Machines that the cloud has made.
+    pub machines: u64,
     /// Starts of tasks.
     pub starts: u32,
     /// Jobs that users knew to be done.
@@ -85,6 +87,7 @@
     let mut report = RunReport {
         is_partial: stop.load(Ordering::Relaxed),
         seconds: began.elapsed().as_secs(),
+        machines: cluster.cloud.made(),
         ..RunReport::default()
     };
     report.broken.extend(controllers.violations());
@@ -116,6 +119,7 @@
         .store(u64::from(workers.max(3)), Ordering::Relaxed);
     if workers > MANY_WORKERS {
         cloud.ground.report_ms.store(400, Ordering::Relaxed);
+        cloud.start_machines(workers);
     }
 }
 
--- a/crates/testbed/src/servers.rs
+++ b/crates/testbed/src/servers.rs
@@ -168,6 +168,18 @@
         (cloud, addr)
     }
 
+    /// Machines that are up from the start.
+    pub fn start_machines(&self, count: u32) {
+        for _ in 0..count {
+            self.boot();
+        }
+    }
+
+    /// Machines made so far.
+    pub fn made(&self) -> u64 {
+        self.made.load(Ordering::Relaxed)
+    }
+
     fn most_a_rental(&self) -> usize {
         match self.most_a_rental.load(Ordering::Relaxed) {
             0 => 3,
