--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,13 +1,13 @@
 //! One run: a cluster, its users, and the troubles of a schedule.
 
-use crate::controllers::{self, Controllers, log_of};
+use crate::controllers::{self, Controllers, Launch};
 use crate::schedule::{Planned, Schedule, Target, Trouble};
 use aspenreel_testbed::cuts::Way;
 use aspenreel_testbed::loopback::{Cluster, NODES};
 use aspenreel_testbed::loopback_users::{Demand, Users};
 use aspenreel_testbed::processes::{CANCEL_S, Site};
 use aspenreel_testbed::relay::Traffic;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,8 @@
 const MACHINE_CPUS: f64 = 8.0;
 /// From so many workers on they report less often, as on a site.
 const MANY_WORKERS: u32 = 50;
+/// A run with many workers has them all along.
+const KEEP_MACHINES: [&str; 2] = ["--idle-ms", "3600000"];
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
 /// What a run is made of.
@@ -63,12 +65,19 @@
         sockets: 500 + 4 * plan.workers,
     };
     let tag = format!("soak-{}", plan.seed);
-    let spawn =
-        |config: &std::path::Path| controllers::spawn(&plan.program, config, &log_of(config));
+    let launch = Launch {
+        program: plan.program.clone(),
+        flags: if plan.workers > MANY_WORKERS {
+            &KEEP_MACHINES
+        } else {
+            &[]
+        },
+    };
+    let spawn = |config: &Path| controllers::spawn(&launch, config);
     let mut cluster = Cluster::start(&tag, &site, spawn);
     prepare(&cluster, plan.workers);
     let children = std::mem::take(&mut cluster.nodes.children);
-    let controllers = Controllers::new(&plan.program, &cluster.nodes.configs, children);
+    let controllers = Controllers::new(launch, &cluster.nodes.configs, children);
     let schedule = Schedule::draw(plan.seed, plan.length);
     let run = Run {
         cluster: &cluster,
