--- a/src/workers/direct.rs
+++ b/src/workers/direct.rs
@@ -6,6 +6,7 @@
 use super::wire::{Order, Report, TaskStatus, Verb};
 use super::{Attempt, AttemptKey, DesiredState};
 use crate::cluster::Cluster;
+use crate::jobs::Job;
 use crate::time::{Micros, Moment};
 
 /// Direct calls that may be under way at once, but for those that have waited so long that the
@@ -30,6 +31,13 @@
     pub probe: bool,
 }
 
+impl DirectCall {
+    /// Only the machine itself, in the session that it was called in, shows that the call reached it.
+    fn is_answered_by(&self, report: &Report) -> bool {
+        report.machine == self.machine && report.session == self.session
+    }
+}
+
 /// How a direct call ended.
 #[derive(Debug)]
 pub enum DirectResult {
@@ -42,6 +50,29 @@
     Unknown,
 }
 
+/// What one call carries.
+#[derive(Default)]
+struct DirectOrders {
+    orders: Vec<Order>,
+    starts: Vec<AttemptKey>,
+}
+
+/// What an attempt needs to be told before the next heartbeat, if anything.
+fn direct_verb(job: &Job, number: u32, attempt: &Attempt, takes_starts: bool) -> Option<Verb> {
+    match (attempt.status, attempt.desired) {
+        (None, DesiredState::Run) => {
+            let was_sent = attempt.sent.is_some() || attempt.delivery.may_arrive();
+            let may_start = takes_starts && number < job.claimed && !job.is_closed();
+            (may_start && !was_sent).then_some(Verb::Run)
+        }
+        (Some(status), DesiredState::Stop { .. }) => {
+            let runs_on = status != TaskStatus::Exited && attempt.stop_sent.is_none();
+            runs_on.then_some(Verb::Stop)
+        }
+        _ => None,
+    }
+}
+
 impl Cluster {
     /// The next machine with orders that need not wait for its heartbeat.
     pub fn next_direct(&mut self, now: Moment) -> Option<DirectCall> {
@@ -66,7 +97,6 @@
 
     fn direct_call(&mut self, name: &str, now: Moment) -> Option<DirectCall> {
         let report = self.config.report;
-        let (term, token) = (self.term, self.token_for(name));
         let machine = self.machines.get_mut(name)?;
         let heard = machine
             .last_report
@@ -74,90 +104,68 @@
         if machine.calling || machine.lost || !heard {
             return None;
         }
-        // Stops go to whoever answers; starts only where the lease is known to last.
-        let starts_here = machine.is_alive(report, now);
         if let Some(suspicion) = &mut machine.suspicion {
             if !suspicion.may_probe(now) {
                 return None;
             }
             suspicion.note_probe(now);
-            machine.calling = true;
-            return Some(DirectCall {
-                machine: name.to_string(),
-                addr: machine.addr.clone(),
-                term,
-                token,
-                session: machine.session,
-                orders: Vec::new(),
-                starts: Vec::new(),
-                began: now,
-                probe: true,
-            });
+            return self.begin_call(name, DirectOrders::default(), now);
         }
         if !machine.counted_in {
             return None;
         }
-        let mut orders = Vec::new();
-        let mut starts = Vec::new();
+        let content = self.direct_orders(name, now)?;
+        if content.orders.is_empty() {
+            return None;
+        }
+        self.begin_call(name, content, now)
+    }
+
+    /// A call with these orders, or a probe if there are none.
+    fn begin_call(&mut self, name: &str, content: DirectOrders, now: Moment) -> Option<DirectCall> {
+        let (term, token) = (self.term, self.token_for(name));
+        let machine = self.machines.get_mut(name)?;
+        machine.calling = true;
+        Some(DirectCall {
+            machine: name.to_string(),
+            addr: machine.addr.clone(),
+            term,
+            token,
+            session: machine.session,
+            probe: content.orders.is_empty(),
+            orders: content.orders,
+            starts: content.starts,
+            began: now,
+        })
+    }
+
+    /// What is to be said to a machine at once. Starts are under way from here on.
+    fn direct_orders(&mut self, name: &str, now: Moment) -> Option<DirectOrders> {
+        let machine = self.machines.get_mut(name)?;
+        // Stops go to whoever answers; starts only where the lease is known to last.
+        let takes_starts = machine.recorded && machine.is_alive(self.config.report, now);
+        let mut content = DirectOrders::default();
         for (key, attempt) in &mut machine.attempts {
             let Some(job) = self.jobs.table.get(&key.0) else {
                 continue;
             };
-            let verb = match (attempt.status, attempt.desired) {
-                (None, DesiredState::Run)
-                    if key.1 < job.claimed
-                        && machine.recorded
-                        && starts_here
-                        && attempt.sent.is_none()
-                        && !attempt.delivery.may_arrive()
-                        && !job.is_closed() =>
-                {
-                    Verb::Run
-                }
-                (Some(status), DesiredState::Stop { .. })
-                    if status != TaskStatus::Exited && attempt.stop_sent.is_none() =>
-                {
-                    Verb::Stop
-                }
-                _ => continue,
-            };
-            let leeway_s = match attempt.desired {
-                DesiredState::Stop { leeway } => Some(leeway.as_secs_f64()),
-                DesiredState::Run => None,
+            let Some(verb) = direct_verb(job, key.1, attempt, takes_starts) else {
+                continue;
             };
-            orders.push(Order {
-                verb,
-                piece: format!("{}/{}", job.spec.id, key.1),
-                attempt: key.2,
-                leeway_s,
-            });
+            content.orders.push(attempt.order(job, *key, verb));
             if verb == Verb::Run {
                 attempt.delivery = StartDelivery::InFlight;
-                starts.push(*key);
+                content.starts.push(*key);
             } else {
                 attempt.stop_sent = Some(now);
             }
-            if orders.len() >= MAX_ORDERS {
+            if content.orders.len() >= MAX_ORDERS {
                 break;
             }
         }
-        if orders.is_empty() {
-            return None;
-        }
         // Stops go first: they make the room that the starts need.
-        orders.sort_by_key(|o| o.verb == Verb::Run);
-        machine.calling = true;
-        Some(DirectCall {
-            machine: name.to_string(),
-            addr: machine.addr.clone(),
-            term,
-            token,
-            session: machine.session,
-            orders,
-            starts,
-            began: now,
-            probe: false,
-        })
+        content.orders.sort_by_key(|o| o.verb == Verb::Run);
+        Some(content)
     }
 
     /// Starts that never left, on a machine that isn't reached: they go elsewhere at once instead
@@ -205,24 +213,22 @@
             }
             _ => StartDelivery::Settled,
         };
-        let lost = matches!(result, DirectResult::Unknown | DirectResult::Unreached);
-        match &result {
-            _ if lost && !machine.lost && !call.probe => machine.note_loss(now),
-            // Only what reached it can have been answered.
-            DirectResult::Report(r)
-                if r.machine == call.machine
-                    && r.session == call.session
-                    && r.session == machine.session =>
-            {
-                self.dirty |= machine.suspicion.take().is_some();
-            }
-            _ => {}
-        }
         for key in &call.starts {
             if let Some(attempt) = machine.attempts.get_mut(key) {
                 attempt.delivery = delivery;
             }
         }
+        let lost = matches!(result, DirectResult::Unknown | DirectResult::Unreached);
+        if lost && !machine.lost && !call.probe {
+            machine.note_loss(now);
+        }
+        if let DirectResult::Report(report) = &result
+            && call.is_answered_by(report)
+            && report.session == machine.session
+        {
+            // It hears.
+            self.dirty |= machine.suspicion.take().is_some();
+        }
         let answered = matches!(result, DirectResult::Report(_));
         if let DirectResult::Report(report) = result
             && report.machine == call.machine
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -1,8 +1,8 @@
 //! What is known of one machine and of the attempts on it.
 
 use super::delivery::StartDelivery;
-use super::wire::TaskStatus;
-use crate::jobs::JobId;
+use super::wire::{Order, TaskStatus, Verb};
+use crate::jobs::{Job, JobId};
 use crate::placement::Room;
 use crate::time::{Micros, Moment};
 use std::cell::Cell;
@@ -54,6 +54,20 @@
         Attempt::new(true, now)
     }
 
+    /// The order with this verb for it.
+    pub(super) fn order(&self, job: &Job, key: AttemptKey, verb: Verb) -> Order {
+        let leeway = match self.desired {
+            DesiredState::Stop { leeway } if verb == Verb::Stop => Some(leeway),
+            _ => None,
+        };
+        Order {
+            verb,
+            piece: format!("{}/{}", job.spec.id, key.1),
+            attempt: key.2,
+            leeway_s: leeway.map(Micros::as_secs_f64),
+        }
+    }
+
     /// False once it surely no longer holds anything on the machine.
     pub fn holds(&self) -> bool {
         self.bound
--- a/src/workers/orders.rs
+++ b/src/workers/orders.rs
@@ -39,12 +39,6 @@
             let Some(job) = self.jobs.table.get(&key.0) else {
                 continue;
             };
-            let order = |verb, leeway_s| Order {
-                verb,
-                piece: format!("{}/{}", job.spec.id, key.1),
-                attempt: key.2,
-                leeway_s,
-            };
             match (attempt.status, attempt.desired) {
                 // The worker's memory is the second copy of an outcome until it is recorded.
                 (Some(TaskStatus::Exited), _) if attempt.delivery.may_arrive() => {}
@@ -52,7 +46,7 @@
                 (Some(TaskStatus::Exited), _)
                     if !attempt.done || job.recorded.contains(key.1) || job.outcome.is_some() =>
                 {
-                    orders.push(order(Verb::Clear, None));
+                    orders.push(attempt.order(job, *key, Verb::Clear));
                 }
                 (Some(TaskStatus::Exited), _) => {}
                 (Some(TaskStatus::Flushing), DesiredState::Stop { leeway }) => {
@@ -60,12 +54,16 @@
                         .stop_sent
                         .is_some_and(|t| now - t > leeway + Micros::from_secs(5));
                     if leeway == Micros::ZERO || overdue {
-                        orders.push(order(Verb::Stop, Some(0.0)));
+                        let stop = attempt.order(job, *key, Verb::Stop);
+                        orders.push(Order {
+                            leeway_s: Some(0.0),
+                            ..stop
+                        });
                     }
                 }
-                (Some(_), DesiredState::Stop { leeway }) => {
+                (Some(_), DesiredState::Stop { .. }) => {
                     attempt.stop_sent.get_or_insert(now);
-                    orders.push(order(Verb::Stop, Some(leeway.as_secs_f64())));
+                    orders.push(attempt.order(job, *key, Verb::Stop));
                 }
                 (None, DesiredState::Run) => {
                     if job.is_closed() {
@@ -87,7 +85,7 @@
                         continue;
                     }
                     attempt.sent = Some(here);
-                    starts.push(order(Verb::Run, None));
+                    starts.push(attempt.order(job, *key, Verb::Run));
                 }
                 (None, DesiredState::Stop { .. })
                     if attempt.sent.is_none() && !attempt.delivery.may_arrive() =>
