--- a/crates/testbed/src/loopback.rs
+++ b/crates/testbed/src/loopback.rs
@@ -65,7 +65,7 @@
         cloud.ground.task_ms.store(TASK_MS, Ordering::Relaxed);
         let states = [0, 1, 2].map(|n| to_state[n].addr);
         let peer_way = |from, to| to_peers[&(from, to)].addr;
-        let nodes = Nodes::start_site(site, addresses, peer_way, states, cloud_addr, tag, spawn);
+        let nodes = Nodes::start_at(site, addresses, peer_way, states, cloud_addr, tag, spawn);
         for n in 0..NODES {
             nodes.until(n, "GET", "/up", &[], |s, _| s == 200);
         }
--- a/crates/testbed/src/processes.rs
+++ b/crates/testbed/src/processes.rs
@@ -83,26 +83,6 @@
 impl Nodes {
     /// Processes that reach each other by ways of the test's own.
     pub fn start_at(
-        addresses: Addresses,
-        peer_way: impl Fn(usize, usize) -> SocketAddr,
-        states: [SocketAddr; 3],
-        cloud: SocketAddr,
-        tag: &str,
-        spawn: impl Fn(&Path) -> Child,
-    ) -> Nodes {
-        Nodes::start_site(
-            &Site::default(),
-            addresses,
-            peer_way,
-            states,
-            cloud,
-            tag,
-            spawn,
-        )
-    }
-
-    /// The same, with settings of the test's own.
-    pub fn start_site(
         site: &Site,
         addresses: Addresses,
         peer_way: impl Fn(usize, usize) -> SocketAddr,
--- a/tests/common/nodes.rs
+++ b/tests/common/nodes.rs
@@ -1,7 +1,7 @@
 //! Controllers of the program under test.
 
 use aspenreel_testbed::processes::spawn_with;
-pub use aspenreel_testbed::processes::{Addresses, Answer, Nodes, job, leader};
+pub use aspenreel_testbed::processes::{Addresses, Answer, Nodes, Site, job, leader};
 use aspenreel_testbed::servers::{Cloud, State};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -23,9 +23,15 @@
     let addresses = Addresses::free();
     let peers = addresses.peers.clone();
     let ways = |_, to: usize| peers[to];
-    Nodes::start_at(addresses, ways, states, cloud, tag, |path| {
-        spawn_as(program, path)
-    })
+    Nodes::start_at(
+        &Site::default(),
+        addresses,
+        ways,
+        states,
+        cloud,
+        tag,
+        |path| spawn_as(program, path),
+    )
 }
 
 pub fn newest() -> &'static Path {
--- a/tests/traces/orders.rs
+++ b/tests/traces/orders.rs
@@ -57,12 +57,17 @@
     }
 }
 
-/// A direct start is on its way when its job is cancelled, and stays there for minutes, while heartbeats
-/// renew the session. Before the time for a cancellation is over, the worker must have lost the right to
-/// execute it.
-#[test]
-fn a_held_start_is_revoked_before_its_cancellation_must_be_complete() {
+/// What the state service does with higher tokens.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Tokens {
+    Raised,
+    Refused,
+}
+
+/// A leader, a worker, and a direct start of `run-1` that got no answer at 1 s.
+fn a_start_in_doubt(tokens: Tokens) -> (World, Worker, HeldOrder) {
     let mut w = World::new(2, vec![team("a", 64.0, 64.0)]);
+    w.raises_tokens = tokens == Tokens::Raised;
     let mut worker = Worker::new("big-east-1");
     worker.heartbeat(&mut w, 0.0, &[]);
     w.at(0.5).job(submission("run-1", |s| s.pieces = 1));
@@ -71,6 +76,15 @@
         token: 2,
         session: 1,
     };
+    (w, worker, held)
+}
+
+/// A direct start is on its way when its job is cancelled, and stays there for minutes, while heartbeats
+/// renew the session. Before the time for a cancellation is over, the worker must have lost the right to
+/// execute it.
+#[test]
+fn a_held_start_is_revoked_before_its_cancellation_must_be_complete() {
+    let (mut w, mut worker, held) = a_start_in_doubt(Tokens::Raised);
     w.at(2.0);
     w.cluster.ask_cancel("run-1", w.now);
     w.round(true);
@@ -88,15 +102,7 @@
 /// execute the late order any more.
 #[test]
 fn a_preempted_start_holds_its_task_until_it_is_revoked() {
-    let mut w = World::new(2, vec![team("a", 64.0, 64.0)]);
-    let mut worker = Worker::new("big-east-1");
-    worker.heartbeat(&mut w, 0.0, &[]);
-    w.at(0.5).job(submission("run-1", |s| s.pieces = 1));
-    w.tick(1.0).direct(|_| DirectResult::Unknown);
-    let held = HeldOrder {
-        token: 2,
-        session: 1,
-    };
+    let (mut w, mut worker, held) = a_start_in_doubt(Tokens::Raised);
     let key = *w.cluster.machines["big-east-1"]
         .attempts
         .keys()
@@ -122,16 +128,7 @@
 /// lease just fits into the time for the cancellation, and the order's session ends.
 #[test]
 fn a_start_that_cannot_be_fenced_off_ends_with_its_session() {
-    let mut w = World::new(2, vec![team("a", 64.0, 64.0)]);
-    w.raises_tokens = false;
-    let mut worker = Worker::new("big-east-1");
-    worker.heartbeat(&mut w, 0.0, &[]);
-    w.at(0.5).job(submission("run-1", |s| s.pieces = 1));
-    w.tick(1.0).direct(|_| DirectResult::Unknown);
-    let held = HeldOrder {
-        token: 2,
-        session: 1,
-    };
+    let (mut w, mut worker, held) = a_start_in_doubt(Tokens::Refused);
     w.at(2.0);
     w.cluster.ask_cancel("run-1", w.now);
     w.round(true);
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -159,20 +159,25 @@
     assert_eq!(accepted, PeerReply::Accepted);
 }
 
+/// The counter of terms as the version in production stores it.
+#[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+struct Production {
+    term: u64,
+}
+
+fn term_row(data: ciborium::Value, revision: u64) -> Row {
+    Row {
+        key: "term".into(),
+        data,
+        revision,
+    }
+}
+
 /// The counter of terms: this version reads what earlier ones wrote, and they read it in its open form,
 /// whose other fields they ignore. In the fenced form they can't, and so can't lead.
 #[test]
 fn terms_of_both_versions() {
-    #[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-    struct Production {
-        term: u64,
-    }
-    let row = |data| Row {
-        key: "term".into(),
-        data,
-        revision: 70,
-    };
-    let read = |data| TermRecord::read(Some(&row(data))).unwrap();
+    let read = |data| TermRecord::read(Some(&term_row(data, 70))).unwrap();
     // Kept: {"term": 6} as the version in production writes it.
     let older = to_value(&Production { term: 6 });
     assert_eq!(hex(&encode(&older)), "a1647465726d06");
@@ -195,23 +200,14 @@
     assert_eq!(read(fenced.to_value()), fenced);
     assert_eq!(from_value::<Production>(&fenced.to_value()), None);
     assert_eq!(read(fenced.next().to_value()).term, 8);
-    assert!(TermRecord::read(Some(&row(to_value(&"odd")))).is_err());
+    assert!(TermRecord::read(Some(&term_row(to_value(&"odd"), 70))).is_err());
 }
 
 /// A counter that its leader raised for a fencing token: earlier versions read the number and lead under the
 /// next one; this version tells who raised it, so that earlier versions can still be fenced off.
 #[test]
 fn a_raised_counter_of_terms() {
-    #[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-    struct Production {
-        term: u64,
-    }
-    let row = |data| Row {
-        key: "term".into(),
-        data,
-        revision: 90,
-    };
-    let read = |data| TermRecord::read(Some(&row(data))).unwrap();
+    let read = |data| TermRecord::read(Some(&term_row(data, 90))).unwrap();
     let taken = TermRecord {
         term: 7,
         fenced: false,
