--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -18,14 +18,13 @@
     assert!(report.done > 0 && report.cancelled > 0, "{report:?}");
 }
 
-/// Orders are held back while single ways are cut: a seed that finds the incident of
-/// `docs/incidents/cancelled-task-started-late.md` in the version before it was mended.
+/// Orders are held back while single ways are cut.
 #[test]
 fn held_orders_and_cut_ways() {
     soak(21);
 }
 
-/// Leaders end in series while the state service is out at times.
+/// Leaders end in series or stand still while orders are held back and ways are cut.
 #[test]
 fn leaders_in_series() {
     soak(1);
