--- /dev/null
+++ b/crates/testbed/src/loopback_users.rs
@@ -0,0 +1,108 @@
+//! Users of controllers on loopback.
+
+use crate::checker::{Checker, JobPlan, Question};
+use crate::loopback::{Cluster, NODES, TASK_MS};
+use crate::processes::job;
+use std::time::{Duration, Instant};
+
+/// Users of one cluster: they come with jobs, ask, and cancel some.
+pub struct Users<'a> {
+    cluster: &'a Cluster,
+    /// Draws what they do.
+    pub rng: fastrand::Rng,
+    next: u32,
+    open: Vec<JobPlan>,
+    cancels_one_in: u32,
+}
+
+impl<'a> Users<'a> {
+    /// Users whose jobs are numbered from `first` on.
+    pub fn new(cluster: &'a Cluster, seed: u64, first: u32) -> Users<'a> {
+        Users {
+            cluster,
+            rng: fastrand::Rng::with_seed(seed),
+            next: first,
+            open: Vec::new(),
+            cancels_one_in: 4,
+        }
+    }
+
+    /// One in so many jobs is called off, sooner or later.
+    pub fn cancels_one_in(&mut self, one_in: u32) {
+        self.cancels_one_in = one_in;
+    }
+
+    fn node(&mut self) -> usize {
+        self.rng.usize(0..NODES)
+    }
+
+    fn submit(&mut self) {
+        self.next += 1;
+        let tasks = self.rng.u32(1..=3);
+        let plan = JobPlan::new(self.next, tasks, 1.0, TASK_MS as f64 / 1000.0);
+        self.cluster.check(|checker, _| checker.submitted(&plan));
+        self.open.push(plan);
+    }
+
+    /// One question about one open job: a submission until it is accepted, then its state, or a
+    /// cancellation.
+    fn ask_one(&mut self) {
+        let Some(at) = (!self.open.is_empty()).then(|| self.rng.usize(0..self.open.len())) else {
+            return;
+        };
+        let plan = self.open[at].clone();
+        let node = self.node();
+        let mut accepted = false;
+        let mut wants_cancel = false;
+        self.cluster.check(|checker, _| {
+            accepted = checker.is_accepted(&plan.id);
+            wants_cancel = number_of(&plan).is_multiple_of(self.cancels_one_in);
+        });
+        let question = match accepted {
+            false => Question::Submit,
+            true if wants_cancel && self.rng.u32(0..4) == 0 => Question::Cancel,
+            true => Question::Status,
+        };
+        if question == Question::Cancel {
+            self.cluster
+                .check(|checker, _| checker.asks_cancel(&plan.id));
+        }
+        let body = job(&plan.id, plan.tasks, plan.cpus);
+        self.cluster.ask(&plan.id, question, node, &body);
+        let cluster = self.cluster;
+        self.open.retain(|plan| {
+            let mut ended = false;
+            cluster.check(|checker, _| ended = checker.ended(&plan.id).is_some());
+            !ended
+        });
+    }
+
+    /// They do what they do for so long.
+    pub fn busy_for(&mut self, span: Duration) {
+        let until = Instant::now() + span;
+        while Instant::now() < until {
+            if self.open.len() < 8 {
+                self.submit();
+            }
+            self.ask_one();
+            self.cluster.check(Checker::look);
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Asks until every job has ended: none may be lost.
+    pub fn until_all_ended(&mut self) {
+        let deadline = Instant::now() + Duration::from_secs(240);
+        while !self.open.is_empty() {
+            self.ask_one();
+            let left = &self.open;
+            assert!(Instant::now() < deadline, "never ended: {left:?}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+fn number_of(plan: &JobPlan) -> u32 {
+    let number = plan.id.rsplit_once('-');
+    number.and_then(|(_, n)| n.parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/testbed/src/worker.rs
@@ -0,0 +1,339 @@
+//! A worker on loopback, as the protocol's page tells of it, and what all workers share.
+
+use crate::checker::{Checker, Place};
+use crate::machines::foreman_of;
+use crate::processes::LEASE_S;
+use aspenreel::http::cbor::{decode, encode};
+use aspenreel::http::client::Client;
+use aspenreel::http::server::{Handler, Request, Response};
+use aspenreel::workers::wire::{Cause, Order, Orders, Report, TaskReport, TaskStatus, Verb};
+use serde::Deserialize;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// The rules, watched from what workers do.
+pub struct History {
+    pub checker: Checker,
+    since: Instant,
+}
+
+impl History {
+    pub fn new(checker: Checker) -> History {
+        History {
+            checker,
+            since: Instant::now(),
+        }
+    }
+
+    /// Now, as the checker counts time.
+    pub fn now(&self) -> u64 {
+        self.since.elapsed().as_micros() as u64
+    }
+}
+
+/// The ways by which one worker is reached, one for each controller; its own address where there are none.
+pub type WorkerWays = Box<dyn Fn(SocketAddr) -> Vec<SocketAddr> + Send + Sync>;
+
+/// What all workers share: who runs what, and what went wrong.
+#[derive(Default)]
+pub struct Ground {
+    /// Where the rules are watched, if they are.
+    pub history: Mutex<Option<History>>,
+    /// Time between two heartbeats of a worker, in milliseconds; 0: 100.
+    pub report_ms: AtomicU64,
+    /// How long a task runs, in milliseconds; 0: 150.
+    pub task_ms: AtomicU64,
+    pub running: Mutex<HashMap<String, String>>,
+    pub started: Mutex<HashSet<String>>,
+    pub broken: Mutex<Vec<String>>,
+    /// Jobs whose tasks run until they are stopped.
+    pub endless: Mutex<HashSet<String>>,
+}
+
+struct Task {
+    report: TaskReport,
+    ends: Option<Instant>,
+}
+
+struct Inner {
+    tasks: Vec<Task>,
+    token: u64,
+    session: u64,
+    tick: u64,
+    /// When the last report that was answered was sent, or the session began.
+    lease_from: Instant,
+    /// The cloud took the machine back.
+    gone: bool,
+}
+
+/// A worker gives up waiting for an answer after this.
+const ANSWER_TIME: Duration = Duration::from_secs(2);
+
+/// One machine with its worker.
+pub struct Worker {
+    name: String,
+    /// Its own address, or one way to it for each controller.
+    addresses: Mutex<Vec<SocketAddr>>,
+    /// The controller that it reports to.
+    at: AtomicUsize,
+    inner: Mutex<Inner>,
+    ground: Arc<Ground>,
+    /// Orders are executed one after the other, and no session ends between the look at an order's token
+    /// and what it does.
+    acting: Mutex<()>,
+}
+
+impl Ground {
+    fn report_time(&self) -> Duration {
+        match self.report_ms.load(Ordering::Relaxed) {
+            0 => Duration::from_millis(100),
+            ms => Duration::from_millis(ms),
+        }
+    }
+
+    fn task_time(&self) -> Duration {
+        match self.task_ms.load(Ordering::Relaxed) {
+            0 => Duration::from_millis(150),
+            ms => Duration::from_millis(ms),
+        }
+    }
+
+    fn note(&self, work: impl FnOnce(&mut Checker, u64)) {
+        if let Some(history) = &mut *self.history.lock().unwrap() {
+            let now = history.now();
+            work(&mut history.checker, now);
+        }
+    }
+
+    fn note_start(&self, piece: &str, machine: &str) {
+        let (job, task) = parts(piece);
+        let place = Place {
+            machine: machine.into(),
+            zone: "east".into(),
+            spot: true,
+        };
+        self.note(|checker, now| checker.starts(job, task, &place, now));
+    }
+
+    fn note_end(&self, piece: &str, machine: &str, done: bool) {
+        let (job, task) = parts(piece);
+        self.note(|checker, _| checker.leaves(job, task, machine, done));
+    }
+}
+
+fn parts(piece: &str) -> (&str, u32) {
+    let (job, task) = piece.rsplit_once('/').unwrap();
+    (job, task.parse().unwrap())
+}
+
+impl Worker {
+    /// A worker that has just begun its first session.
+    pub fn new(name: &str, ground: &Arc<Ground>) -> Arc<Worker> {
+        Arc::new(Worker {
+            name: name.to_string(),
+            addresses: Mutex::default(),
+            at: AtomicUsize::new(0),
+            inner: Mutex::new(Inner {
+                tasks: Vec::new(),
+                token: 0,
+                session: 1,
+                tick: 0,
+                lease_from: Instant::now(),
+                gone: false,
+            }),
+            ground: ground.clone(),
+            acting: Mutex::default(),
+        })
+    }
+
+    /// The ways by which controllers reach it.
+    pub fn set_addresses(&self, addresses: Vec<SocketAddr>) {
+        *self.addresses.lock().unwrap() = addresses;
+    }
+
+    /// The machine is gone, with everything on it.
+    pub fn remove(&self) {
+        let _acting = self.acting.lock().unwrap();
+        let mut inner = self.inner.lock().unwrap();
+        inner.gone = true;
+        for task in &mut inner.tasks {
+            self.exit(task, Cause::Stopped);
+        }
+        inner.tasks.clear();
+    }
+
+    fn is_gone(&self) -> bool {
+        self.inner.lock().unwrap().gone
+    }
+
+    fn execute(&self, orders: &[Order]) {
+        let mut inner = self.inner.lock().unwrap();
+        for o in orders {
+            let at = inner
+                .tasks
+                .iter()
+                .position(|t| t.report.piece == o.piece && t.report.attempt == o.attempt);
+            match (o.verb, at) {
+                (Verb::Run, None) => {
+                    let twice = self
+                        .ground
+                        .running
+                        .lock()
+                        .unwrap()
+                        .insert(o.piece.clone(), self.name.clone());
+                    if let Some(other) = twice {
+                        let text = format!("{} on {other} and {}", o.piece, self.name);
+                        self.ground.broken.lock().unwrap().push(text);
+                    }
+                    self.ground.note_start(&o.piece, &self.name);
+                    self.ground.started.lock().unwrap().insert(o.piece.clone());
+                    let job = o.piece.split('/').next().unwrap();
+                    let endless = self.ground.endless.lock().unwrap().contains(job);
+                    inner.tasks.push(Task {
+                        report: TaskReport {
+                            piece: o.piece.clone(),
+                            attempt: o.attempt,
+                            status: TaskStatus::Running,
+                            cause: None,
+                            stored: None,
+                        },
+                        ends: (!endless).then(|| Instant::now() + self.ground.task_time()),
+                    });
+                }
+                (Verb::Stop, Some(i)) => self.exit(&mut inner.tasks[i], Cause::Stopped),
+                (Verb::Clear, Some(i)) => {
+                    inner.tasks.remove(i);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn exit(&self, task: &mut Task, cause: Cause) {
+        if task.report.status != TaskStatus::Exited {
+            task.report.status = TaskStatus::Exited;
+            task.report.cause = Some(cause);
+            let done = cause == Cause::Done;
+            self.ground.note_end(&task.report.piece, &self.name, done);
+            self.ground
+                .running
+                .lock()
+                .unwrap()
+                .remove(&task.report.piece);
+        }
+    }
+
+    /// Its report, to or from the controller with this number.
+    fn report(&self, controller: usize) -> Report {
+        let mut inner = self.inner.lock().unwrap();
+        for task in &mut inner.tasks {
+            if task.ends.is_some_and(|e| e <= Instant::now()) {
+                self.exit(task, Cause::Done);
+            }
+        }
+        inner.tick += 1;
+        Report {
+            machine: self.name.clone(),
+            addr: self.addr_for(controller),
+            type_name: "small".into(),
+            zone: "east".into(),
+            spot: true,
+            session: inner.session,
+            tick: inner.tick,
+            token: inner.token,
+            recall: None,
+            tasks: inner.tasks.iter().map(|t| t.report.clone()).collect(),
+        }
+    }
+
+    fn addr_for(&self, controller: usize) -> String {
+        let addresses = self.addresses.lock().unwrap();
+        let addr = addresses.get(controller).or(addresses.first());
+        addr.map(SocketAddr::to_string).unwrap_or_default()
+    }
+
+    /// Kills everything when nobody answered for too long.
+    fn end_lease(&self) {
+        let _acting = self.acting.lock().unwrap();
+        let mut inner = self.inner.lock().unwrap();
+        if inner.lease_from.elapsed() > Duration::from_secs_f64(LEASE_S) {
+            for task in &mut inner.tasks {
+                self.exit(task, Cause::Stopped);
+            }
+            inner.tasks.clear();
+            inner.session += 1;
+            inner.lease_from = Instant::now();
+        }
+    }
+
+    /// The answer to a heartbeat of that session.
+    fn take_answer(&self, answer: &Orders, session: u64, sent: Instant) {
+        let _acting = self.acting.lock().unwrap();
+        {
+            let mut inner = self.inner.lock().unwrap();
+            if answer.token < inner.token || session != inner.session || inner.gone {
+                return;
+            }
+            inner.token = answer.token;
+            inner.lease_from = sent;
+        }
+        self.execute(&answer.orders);
+    }
+
+    /// Checks in until the test ends, following hints and trying others after failures.
+    pub fn work(self: Arc<Self>, controllers: Vec<(String, SocketAddr)>) {
+        let mut at = 0;
+        while !self.is_gone() {
+            std::thread::sleep(self.ground.report_time());
+            self.end_lease();
+            let sent = Instant::now();
+            let client = Client::new(controllers[at].1);
+            let report = self.report(at);
+            self.at.store(at, Ordering::Relaxed);
+            let body = encode(&report);
+            let result = client.call("POST", "/checkin", &body, ANSWER_TIME);
+            match result {
+                Ok((200, body)) => self.take_answer(&decode(&body).unwrap(), report.session, sent),
+                Ok((421, body)) => {
+                    let named = foreman_of(&body)
+                        .and_then(|f| controllers.iter().position(|(n, _)| *n == f));
+                    at = named.unwrap_or((at + 1) % controllers.len());
+                }
+                _ => at = (at + 1) % controllers.len(),
+            }
+        }
+    }
+}
+
+impl Handler for Worker {
+    fn handle(&self, r: Request) -> Response {
+        #[derive(Deserialize)]
+        struct Commands {
+            baton: u64,
+            shift: u64,
+            orders: Vec<Order>,
+        }
+        let commands: Commands = decode(&r.body).unwrap();
+        let controller = self.at.load(Ordering::Relaxed);
+        // A lease that is over is over before anything else happens, also for an order that was held back.
+        self.end_lease();
+        let _acting = self.acting.lock().unwrap();
+        let is_refused = {
+            let mut inner = self.inner.lock().unwrap();
+            let refused =
+                inner.gone || commands.baton < inner.token || commands.shift != inner.session;
+            if !refused {
+                inner.token = commands.baton;
+            }
+            refused
+        };
+        if is_refused {
+            return Response::new(409, encode(&self.report(controller)));
+        }
+        self.execute(&commands.orders);
+        Response::new(200, encode(&self.report(controller)))
+    }
+}
--- /dev/null
+++ b/tests/service/held_commands.rs
@@ -0,0 +1,33 @@
+//! Orders to workers are held on their way for longer than a cancellation takes, while heartbeats flow.
+
+use crate::nodes::spawn;
+use aspenreel_testbed::checker::Checker;
+use aspenreel_testbed::loopback::Cluster;
+use aspenreel_testbed::loopback_users::Users;
+use aspenreel_testbed::processes::{CANCEL_S, Site};
+use aspenreel_testbed::relay::Traffic;
+use std::time::Duration;
+
+/// Orders that are held arrive this much later than a cancellation may take.
+const BEYOND: Duration = Duration::from_secs(2);
+
+#[test]
+fn held_orders_start_nothing_that_was_cancelled() {
+    let held = Duration::from_secs_f64(CANCEL_S) + BEYOND;
+    let cluster = Cluster::start("held", &Site::default(), spawn);
+    let mut users = Users::new(&cluster, 3, 0);
+    users.cancels_one_in(2);
+    users.busy_for(Duration::from_millis(2500));
+    let leader = cluster.leader();
+    cluster.hold_commands(leader, Traffic::Delayed(held));
+    users.busy_for(Duration::from_secs(8));
+    cluster.hold_commands(leader, Traffic::Passes);
+    users.busy_for(held + BEYOND);
+    users.until_all_ended();
+    cluster.check(|checker: &mut Checker, now| {
+        checker.look(now);
+        assert_eq!(checker.broken, Vec::<String>::new());
+        assert!(checker.told_done > 5, "hardly anything ran");
+        assert!(checker.told_cancelled > 5, "hardly anything was cancelled");
+    });
+}
