Counters and log lines for status requests, connections and slow decisions

Need: in the incident at 4,000 machines nothing told which source answered or failed status requests, how many connections were refused, or how long the leader held its lock.

Change: ServerMetrics counts connections by priority, refusals, rejected requests and the longest wait for a pool thread; StatusMetrics counts lookups by source. A warning a minute at most names requests that were not answered; at debug both are summarized every 10 s. Behaviour is unchanged.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -9,6 +9,7 @@
 mod final_states;
 mod peer_requests;
 mod process;
+mod request_log;
 mod routes;
 mod term_access;
 mod timer_loop;
@@ -17,6 +18,8 @@
 pub use process::{ControllerThread, StartError};
 
 use crate::cli::ServeOptions;
+use crate::http::server::ServerMetrics;
+use crate::jobs::StatusMetrics;
 use crate::leadership::feature_level::FeatureLevel;
 use crate::leadership::{LeaderLease, LeaderRecord};
 use crate::link_health::{LinkHealth, ObservationQueue};
@@ -32,7 +35,7 @@
 use aspenreel_link_health::handover::{HandoverPlanner, HandoverRecord};
 use aspenreel_link_health::link::{Link, NodeName};
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -126,8 +129,10 @@
     pub cloud_bucket: Mutex<TokenBucket>,
     /// Machine types that the cloud offers; `None` until they have been read.
     pub catalog: Mutex<Option<Arc<Vec<MachineType>>>>,
-    /// Number of open connections from users and workers.
-    pub open_connections: Arc<AtomicUsize>,
+    /// Connections from users and workers.
+    pub server_metrics: Arc<ServerMetrics>,
+    /// Answers to status requests.
+    pub status_metrics: StatusMetrics,
     /// True while neither the store nor any peer answers this controller.
     pub isolated: AtomicBool,
     /// Feature level as last read or written; use [`Controller::feature_level`].
@@ -189,7 +194,8 @@
                 now,
             )),
             catalog: Mutex::new(None),
-            open_connections: Arc::default(),
+            server_metrics: Arc::default(),
+            status_metrics: StatusMetrics::default(),
             isolated: AtomicBool::new(false),
             feature_level: Mutex::default(),
             link_health,
--- a/src/controller/process.rs
+++ b/src/controller/process.rs
@@ -113,8 +113,8 @@
             max_pool_threads: quota.max_pool_threads(),
             max_buffered_bytes: quota.max_buffered_bytes(),
         };
-        let open_connections = self.open_connections.clone();
-        serve(public_listener, self, system, limits, open_connections).map_err(StartError::Serve)
+        let metrics = self.server_metrics.clone();
+        serve(public_listener, self, system, limits, metrics).map_err(StartError::Serve)
     }
 
     /// Thread that accepts connections from peers.
--- a/src/controller/timer_loop.rs
+++ b/src/controller/timer_loop.rs
@@ -1,5 +1,6 @@
 //! The timer thread, which applies changes of state that depend only on the passage of time.
 
+use super::request_log::RequestLog;
 use super::{Controller, ControllerState};
 use crate::scheduler::SchedulerState;
 use crate::time::{Micros, Moment};
@@ -42,6 +43,9 @@
     }
 }
 
+/// Time that decisions may take before they are logged as slow. Other controllers wait half a second for an answer.
+const SLOW_DECISIONS_THRESHOLD: Micros = Micros::from_millis(250);
+
 /// State that the timer thread keeps between two runs.
 struct TimerState {
     statistics: TimerStatistics,
@@ -50,6 +54,7 @@
     acting_since: Option<Moment>,
     /// Time at which a summary was last logged.
     summary_logged_at: Moment,
+    request_log: RequestLog,
 }
 
 impl Controller {
@@ -59,6 +64,7 @@
             statistics: TimerStatistics::new(self.now()),
             acting_since: None,
             summary_logged_at: Moment(0),
+            request_log: RequestLog::default(),
         };
         loop {
             let due_at = self.now() + TIMER_INTERVAL;
@@ -67,6 +73,7 @@
             let is_late = now - due_at > LATE_THRESHOLD;
             timer.statistics.count(is_late, now);
             self.on_timer(&mut timer, is_late);
+            timer.request_log.log_if_due(self, now);
         }
     }
 
@@ -80,6 +87,7 @@
         let acting_since = *timer.acting_since.get_or_insert(now);
         scheduler.overload.note(is_late, now);
         scheduler.on_timer(now);
+        log_slow_decisions(self.now() - now);
         log_summary(scheduler, &mut timer.summary_logged_at, now);
         self.wake_loops(scheduler);
         let reaches_too_few_workers = scheduler.is_cut_off_from_workers(acting_since, now);
@@ -105,6 +113,13 @@
     }
 }
 
+/// Logs that decisions held the lock of the state for long: no other request was answered meanwhile.
+fn log_slow_decisions(held: Micros) {
+    if held > SLOW_DECISIONS_THRESHOLD {
+        log::debug!(held_ms = held.0 / 1000; "slow decisions");
+    }
+}
+
 fn log_summary(scheduler: &SchedulerState, logged_at: &mut Moment, now: Moment) {
     if log::log_enabled!(log::Level::Debug) && now - *logged_at > SUMMARY_INTERVAL {
         *logged_at = now;
--- a/src/http/server/acceptor.rs
+++ b/src/http/server/acceptor.rs
@@ -4,6 +4,7 @@
 use super::poll_sets::{ConnectionId, FIRST_CONNECTION_ID};
 use std::io::{ErrorKind, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Maximum number of connections accepted in one turn of the event loop, so that a burst of new connections doesn't
@@ -50,6 +51,10 @@
     fn admit(&mut self, mut stream: TcpStream, connections: &ConnectionTable) {
         let _ = stream.set_nonblocking(true);
         if connections.is_full() {
+            connections
+                .metrics
+                .refused_connections
+                .fetch_add(1, Ordering::Relaxed);
             let _ = stream.write_all(TOO_MANY_CONNECTIONS);
             return;
         }
--- a/src/http/server/connection_table.rs
+++ b/src/http/server/connection_table.rs
@@ -2,6 +2,7 @@
 
 use super::connection::{ActiveConnection, Connection, ConnectionState};
 use super::limits::ServerLimits;
+use super::metrics::ServerMetrics;
 use super::mutex::lock;
 use super::poll_sets::{ConnectionId, Interest, PollSets};
 use crate::http::handler::RequestPriority;
@@ -20,13 +21,14 @@
 /// closed before new ones are rejected. Longer than the time between two requests of a worker or user.
 const NEAR_LIMIT_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The open connections of a server. Invariant, whenever no thread is inside a method: `open_connections` is the
-/// number of entries, and `buffered_bytes` is the number of bytes that the parked connections buffer.
+/// The open connections of a server. Invariant, whenever no thread is inside a method: `metrics` has the number of
+/// entries, and of those with low priority, and `buffered_bytes` is the number of bytes that the parked connections
+/// buffer.
 pub(super) struct ConnectionTable {
     pub(super) poll_sets: PollSets,
     limits: ServerLimits,
     connections: Mutex<HashMap<ConnectionId, Connection>>,
-    open_connections: Arc<AtomicUsize>,
+    pub(super) metrics: Arc<ServerMetrics>,
     buffered_bytes: AtomicUsize,
 }
 
@@ -34,25 +36,27 @@
     pub(super) fn new(
         poll_sets: PollSets,
         limits: ServerLimits,
-        open_connections: Arc<AtomicUsize>,
+        metrics: Arc<ServerMetrics>,
     ) -> Self {
         ConnectionTable {
             poll_sets,
             limits,
             connections: Mutex::default(),
-            open_connections,
+            metrics,
             buffered_bytes: AtomicUsize::new(0),
         }
     }
 
     /// Whether the maximum number of connections is open.
     pub(super) fn is_full(&self) -> bool {
-        self.open_connections.load(Ordering::Relaxed) >= self.limits.max_connections
+        self.open_connections() >= self.limits.max_connections
     }
 
     /// Adds and parks a new connection. Closes it if it can't be added to a poll set.
     pub(super) fn insert(&self, id: ConnectionId, stream: TcpStream) {
-        self.open_connections.fetch_add(1, Ordering::Relaxed);
+        self.metrics
+            .open_connections
+            .fetch_add(1, Ordering::Relaxed);
         let mut connection = Connection {
             stream: Arc::new(stream),
             priority: RequestPriority::Normal,
@@ -65,7 +69,7 @@
             Ok(()) => drop(connections.insert(id, connection)),
             Err(error) => {
                 log_poll_failure(id, error);
-                self.open_connections.fetch_sub(1, Ordering::Relaxed);
+                self.note_removed(&connection);
             }
         }
     }
@@ -109,16 +113,17 @@
         };
         connection.parked = Some(state);
         if !is_within_limit || !self.await_interest(id, connection, interest) {
-            connections.remove(&id);
             self.buffered_bytes.fetch_sub(own_bytes, Ordering::Relaxed);
-            self.open_connections.fetch_sub(1, Ordering::Relaxed);
+            if let Some(removed) = connections.remove(&id) {
+                self.note_removed(&removed);
+            }
         }
     }
 
     /// Removes a connection from the table. Its socket is closed when `active` is dropped.
     pub(super) fn close(&self, active: &ActiveConnection) {
-        if lock(&self.connections).remove(&active.id).is_some() {
-            self.open_connections.fetch_sub(1, Ordering::Relaxed);
+        if let Some(removed) = lock(&self.connections).remove(&active.id) {
+            self.note_removed(&removed);
         }
     }
 
@@ -131,6 +136,11 @@
         if connection.priority != priority {
             self.unregister(connection);
             connection.priority = priority;
+            let low_priority = &self.metrics.low_priority_connections;
+            match priority {
+                RequestPriority::Low => low_priority.fetch_add(1, Ordering::Relaxed),
+                RequestPriority::Normal => low_priority.fetch_sub(1, Ordering::Relaxed),
+            };
         }
     }
 
@@ -138,7 +148,6 @@
     pub(super) fn close_expired(&self, now: Instant) {
         let idle_timeout = self.idle_timeout();
         let mut connections = lock(&self.connections);
-        let before = connections.len();
         connections.retain(|_, connection| {
             let Some(state) = &connection.parked else {
                 return true;
@@ -147,17 +156,31 @@
             if expired {
                 let buffered = state.buffered_bytes();
                 self.buffered_bytes.fetch_sub(buffered, Ordering::Relaxed);
+                self.note_removed(connection);
             }
             !expired
         });
-        let closed = before - connections.len();
-        self.open_connections.fetch_sub(closed, Ordering::Relaxed);
+    }
+
+    fn open_connections(&self) -> usize {
+        self.metrics.open_connections.load(Ordering::Relaxed)
+    }
+
+    /// Subtracts a connection that is removed from the table.
+    fn note_removed(&self, connection: &Connection) {
+        self.metrics
+            .open_connections
+            .fetch_sub(1, Ordering::Relaxed);
+        if connection.priority == RequestPriority::Low {
+            self.metrics
+                .low_priority_connections
+                .fetch_sub(1, Ordering::Relaxed);
+        }
     }
 
     /// The present idle timeout, which is shorter while more than three quarters of the allowed connections are open.
     fn idle_timeout(&self) -> Duration {
-        let open = self.open_connections.load(Ordering::Relaxed);
-        if open * 4 > self.limits.max_connections * 3 {
+        if self.open_connections() * 4 > self.limits.max_connections * 3 {
             NEAR_LIMIT_IDLE_TIMEOUT
         } else {
             IDLE_TIMEOUT
--- a/src/http/server/exchange.rs
+++ b/src/http/server/exchange.rs
@@ -16,6 +16,7 @@
 use std::net::Shutdown;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 /// Maximum number of bytes read from a connection in one turn.
@@ -115,10 +116,15 @@
                     connection,
                     request,
                     close,
+                    queued_at: Instant::now(),
                 };
                 let server = self.clone();
                 let run_thread = move || server.run_pool_thread();
                 connection = self.pool.enqueue(queued, run_thread)?;
+                self.connections
+                    .metrics
+                    .rejected_requests
+                    .fetch_add(1, Ordering::Relaxed);
                 unavailable()
             }
             None => unavailable(),
@@ -133,7 +139,11 @@
                 connection,
                 request,
                 close,
+                queued_at,
             } = queued;
+            self.connections
+                .metrics
+                .note_queue_wait(queued_at.elapsed());
             let handled = catch_panic(|| self.handler.handle(request));
             let response = handled.unwrap_or_else(unavailable);
             if let Some(connection) = self.send_response(connection, response, close) {
--- a/src/http/server/mod.rs
+++ b/src/http/server/mod.rs
@@ -21,6 +21,7 @@
 //! | `exchange` | reads requests and writes responses on one connection |
 //! | `response_encoder` | encodes responses |
 //! | `thread_pool` | threads for requests that may block, and their queue |
+//! | `metrics` | counters of connections and rejected requests |
 //! | `limits`, `mutex` | limits and locking, shared by the other modules |
 
 #![warn(missing_docs)]
@@ -31,6 +32,7 @@
 mod event_loop;
 mod exchange;
 mod limits;
+mod metrics;
 mod mutex;
 mod poll_sets;
 mod response_encoder;
@@ -39,6 +41,7 @@
 pub use super::handler::{Handler, RequestPriority};
 pub use super::message::{Request, Response};
 pub use limits::ServerLimits;
+pub use metrics::ServerMetrics;
 
 use crate::os::System;
 use connection_table::ConnectionTable;
@@ -47,13 +50,12 @@
 use poll_sets::PollSets;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 use thread_pool::ThreadPool;
 
 /// Serves the connections of `listener`. Returns only if polling fails.
 ///
 /// The calling thread runs the event loop. Connections above the limit get status 503 with a `Retry-After`
-/// header. `open_connections` always holds the number of open connections, for other modules that need file
+/// header. `metrics` always holds the number of open connections, for other modules that need file
 /// descriptors of the same process.
 ///
 /// # Errors
@@ -65,14 +67,14 @@
     handler: Arc<dyn Handler>,
     os: Arc<System>,
     limits: ServerLimits,
-    open_connections: Arc<AtomicUsize>,
+    metrics: Arc<ServerMetrics>,
 ) -> std::io::Result<()> {
     listener.set_nonblocking(true)?;
     let poll_sets = PollSets::new(&listener)?;
     let server = Server {
         handler,
         os,
-        connections: ConnectionTable::new(poll_sets, limits, open_connections),
+        connections: ConnectionTable::new(poll_sets, limits, metrics),
         pool: ThreadPool::new(limits),
     };
     EventLoop::new(Arc::new(server), listener).run()
--- a/src/http/server/thread_pool.rs
+++ b/src/http/server/thread_pool.rs
@@ -10,7 +10,7 @@
 use crate::http::message::Request;
 use std::collections::VecDeque;
 use std::sync::{Condvar, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time after which a pool thread without a request ends.
 const THREAD_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -25,6 +25,8 @@
     pub(super) request: Request,
     /// Whether the connection is closed after the response.
     pub(super) close: bool,
+    /// Time at which the request was queued.
+    pub(super) queued_at: Instant,
 }
 
 /// The queue and the thread counts, guarded by the pool's lock.
--- a/src/jobs/api/health.rs
+++ b/src/jobs/api/health.rs
@@ -36,7 +36,10 @@
             let isolated = !self.has_recent_store_answer()
                 && !self.peers.is_empty()
                 && !self.is_any_peer_reachable();
-            self.isolated.store(isolated, Ordering::Relaxed);
+            let was_isolated = self.isolated.swap(isolated, Ordering::Relaxed);
+            if isolated != was_isolated {
+                log::info!(isolated; "reachability of store and peers changed");
+            }
         }
     }
 
--- a/src/jobs/api/status.rs
+++ b/src/jobs/api/status.rs
@@ -6,7 +6,9 @@
 use crate::http::server::Response;
 use crate::jobs::records::{done_key, final_key, job_key};
 use crate::jobs::wire::is_job_id;
-use crate::jobs::{DoneRecord, FinalRecord, JobView, LocalStatus, Outcome, Submission};
+use crate::jobs::{
+    DoneRecord, FinalRecord, JobView, LocalStatus, Outcome, StatusSource, Submission,
+};
 use crate::os::time_left;
 use crate::peer::{PeerReply, PeerRequest};
 use crate::store::{KeyValue, NotExecutedReason, StoreError, StorePriority, from_value};
@@ -42,7 +44,10 @@
             return Some(unknown_job());
         }
         match self.local_status(id) {
-            LocalStatus::View(view) => Some(job_status(id, view)),
+            LocalStatus::View(view) => {
+                self.status_metrics.note_answer(StatusSource::Memory);
+                Some(job_status(id, view))
+            }
             LocalStatus::FinalWriteInFlight | LocalStatus::Unknown => None,
         }
     }
@@ -89,7 +94,8 @@
     /// Looks up the status of a job. The lookup takes time, and this controller may learn a newer status meanwhile,
     /// so the cache of final states is checked last.
     pub(super) fn look_up(&self, id: &str) -> StatusLookup {
-        let found = self.find_status(id);
+        let (found, source) = self.find_status(id);
+        self.status_metrics.note_answer(source);
         let mut state = self.state();
         if let StatusLookup::Job(view) = &found {
             state.final_states.insert(id, *view);
@@ -100,29 +106,32 @@
 
     /// Queries the sources of a job's status in this order: this controller, the leader, the store, and any other
     /// controller.
-    fn find_status(&self, id: &str) -> StatusLookup {
+    fn find_status(&self, id: &str) -> (StatusLookup, StatusSource) {
         let deadline = self.now() + LOOKUP_TIMEOUT;
         if let LocalStatus::View(view) = self.local_status_after_final_write(id) {
-            return StatusLookup::Job(view);
+            return (StatusLookup::Job(view), StatusSource::Memory);
         }
         let request = PeerRequest::Status { id: id.to_string() };
-        if let Some(PeerReply::Job(view)) = self.call_leader(&request, PEER_TIMEOUT.duration()) {
-            return StatusLookup::Job(view);
+        match self.call_leader(&request, PEER_TIMEOUT.duration()) {
+            Some(PeerReply::Job(view)) => return (StatusLookup::Job(view), StatusSource::Leader),
+            Some(_) => {}
+            None => self.status_metrics.note_leader_failure(),
         }
         if self.store.is_answering(self.now()) {
             match self.stored_status(id, deadline) {
-                Ok(Some(view)) => return StatusLookup::Job(view),
-                Ok(None) => return StatusLookup::Absent,
+                Ok(Some(view)) => return (StatusLookup::Job(view), StatusSource::Store),
+                Ok(None) => return (StatusLookup::Absent, StatusSource::Store),
                 Err(error) => {
+                    self.status_metrics.note_store_failure();
                     log::debug!(job = id, error:%; "failed to read job status from store")
                 }
             }
         }
         let request = PeerRequest::Read { id: id.to_string() };
         match self.call_any_peer(&request, deadline) {
-            Some(PeerReply::Job(view)) => StatusLookup::Job(view),
-            Some(PeerReply::Absent) => StatusLookup::Absent,
-            _ => StatusLookup::Undetermined,
+            Some(PeerReply::Job(view)) => (StatusLookup::Job(view), StatusSource::Peer),
+            Some(PeerReply::Absent) => (StatusLookup::Absent, StatusSource::Peer),
+            _ => (StatusLookup::Undetermined, StatusSource::Unanswered),
         }
     }
 
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -27,6 +27,7 @@
 mod retirement;
 mod spec;
 mod status;
+mod status_metrics;
 mod table;
 mod task_set;
 mod transactions;
@@ -43,6 +44,7 @@
 };
 pub use spec::{JobKind, JobSpec, Priority};
 pub use status::{FinalWrite, JobView, LocalStatus, ViewState};
+pub use status_metrics::{StatusMetrics, StatusSource, StatusTotals};
 pub use table::JobTable;
 pub use task_set::{MalformedChunk, TaskSet};
 pub use transactions::{pack_transactions, take_affordable};
--- a/src/workers/command_sender.rs
+++ b/src/workers/command_sender.rs
@@ -69,7 +69,7 @@
         let Ok(addr) = call.addr.parse::<SocketAddr>() else {
             return DirectResult::NotSent;
         };
-        let open_connections = self.open_connections.load(Ordering::Relaxed);
+        let open_connections = self.server_metrics.open_connections.load(Ordering::Relaxed);
         let max_clients = self
             .settings
             .settings
