--- a/crates/simulation/src/stand_ins/deployment.rs
+++ b/crates/simulation/src/stand_ins/deployment.rs
@@ -14,6 +14,8 @@
     pub team_cpus: f64,
     /// Number of sockets that a controller may have open.
     pub sockets: u32,
+    /// Requests a second that the key-value store allows all controllers together.
+    pub store_rps: f64,
 }
 
 impl Default for Deployment {
@@ -21,6 +23,7 @@
         Deployment {
             team_cpus: 32.0,
             sockets: 500,
+            store_rps: 500.0,
         }
     }
 }
--- a/crates/simulation/src/stand_ins/processes.rs
+++ b/crates/simulation/src/stand_ins/processes.rs
@@ -58,12 +58,13 @@
                  [settings]\nzones = [\"east\"]\nskew_ms = 5.0\n\
                  teams = [{{ name = \"a\", cpus = {:?}, cpus_max = {:?} }}]\n\
                  workers = {{ report_s = 0.5, lease_s = {LEASE_S:?}, cancel_s = {CANCEL_S:?} }}\n\
-                 state = {{ rps = 500.0, write_rps = 200.0, value_kb = 8.0, txn_ops = 12 }}\n\
+                 state = {{ rps = {:?}, write_rps = 200.0, value_kb = 8.0, txn_ops = 12 }}\n\
                  cloud = {{ rps = 50.0, list_lag_s = 1.0 }}\nquota = {{ sockets = {} }}\n",
                 public[n],
                 peers[n],
                 deployment.team_cpus / 2.0,
                 deployment.team_cpus,
+                deployment.store_rps,
                 deployment.sockets
             );
             let name = format!("aspenreel-{}-{tag}-{n}.toml", std::process::id());
@@ -83,8 +84,19 @@
         path: &str,
         body: &[u8],
     ) -> (u16, Option<JobStatus>) {
-        let result =
-            Client::new(self.public[node]).call(method, path, body, Duration::from_secs(5));
+        self.call_within(Duration::from_secs(5), node, method, path, body)
+    }
+
+    /// Sends one request to a controller. The status is 0 if the request fails or gets no response within `timeout`.
+    pub fn call_within(
+        &self,
+        timeout: Duration,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> (u16, Option<JobStatus>) {
+        let result = Client::new(self.public[node]).call(method, path, body, timeout);
         match result {
             Ok(ClientResponse { status, body }) => (status, decode(&body).ok()),
             Err(_) => (0, None),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -66,6 +66,7 @@
     let deployment = Deployment {
         team_cpus: f64::from(plan.workers) * MACHINE_CPUS,
         sockets: 500 + 4 * plan.workers,
+        ..Deployment::default()
     };
     let tag = format!("soak-{}", plan.seed);
     let launch = launch(plan);
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -239,6 +239,34 @@
     }
 }
 
+/// Sends a request on the client's connection, or on a new one if it has none, and returns the status. Drops the
+/// connection if the server announces its end.
+fn get_as_worker(connection: &mut Option<TcpStream>, addr: SocketAddr) -> String {
+    let mut stream = connection.take().unwrap_or_else(|| connect(addr));
+    let head = get(&mut stream, "/low-priority");
+    if !head.contains("Connection: close") {
+        *connection = Some(stream);
+    }
+    status(&head).to_string()
+}
+
+/// Workers keep their connections open, and a large fleet has more workers than the server has connections.
+#[test]
+fn workers_that_hold_all_connections_lock_out_users_and_other_workers() {
+    let (addr, _) = start_server(limits(40, 4));
+    let mut workers: Vec<Option<TcpStream>> = (0..60).map(|_| None).collect();
+    for _round in 0..3 {
+        for worker in &mut workers {
+            assert_eq!(get_as_worker(worker, addr), "200");
+        }
+        let users: Vec<String> = connect_many(addr, 4)
+            .iter_mut()
+            .map(|user| status(&get(user, "/a")).to_string())
+            .collect();
+        assert_eq!(users, ["200"; 4]);
+    }
+}
+
 /// Each worker of a fleet keeps a connection open, so the number of threads must not grow with the connections.
 #[test]
 fn connections_beyond_the_thread_budget_are_served_by_few_threads() {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -13,6 +13,8 @@
 mod nodes;
 #[path = "service/side_by_side.rs"]
 mod side_by_side;
+#[path = "service/status_requests.rs"]
+mod status_requests;
 
 use aspenreel::http::cbor::{decode, encode};
 use aspenreel::http::client::Client;
