Workers share connections near the limit instead of locking out users

Cause: one limit for all connections, no reserve. The short idle timeout near the limit is longer than the time between two heartbeats, so nothing was freed.

Why it works: while more than three quarters of the connections are open, a heartbeat's connection is closed with its reply, so any number of workers share connections and the last quarter stays free for arrivals.

--- a/src/http/server/connection_table.rs
+++ b/src/http/server/connection_table.rs
@@ -17,8 +17,8 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which a connection without a request is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Idle timeout while more than three quarters of the allowed connections are open, so that idle connections are
-/// closed before new ones are rejected. Longer than the time between two requests of a worker or user.
+/// Idle timeout near the limit of connections, so that idle connections are closed before new ones are rejected. Longer
+/// than the time between two requests of a worker or user.
 const NEAR_LIMIT_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The open connections of a server. Invariant, whenever no thread is inside a method: `metrics` has the number of
@@ -178,9 +178,23 @@
         }
     }
 
-    /// The present idle timeout, which is shorter while more than three quarters of the allowed connections are open.
+    /// Whether a connection stays open after a response to a request of this priority.
+    ///
+    /// Near the limit, connections with low-priority requests are closed after each response. A fleet with more workers
+    /// than the server has connections then shares them, and the last quarter stays free for connections of normal
+    /// priority and for arriving workers, which can't be told apart before their first request.
+    pub(super) fn is_kept_open(&self, priority: RequestPriority) -> bool {
+        priority == RequestPriority::Normal || !self.is_near_limit()
+    }
+
+    /// Whether more than three quarters of the allowed connections are open.
+    fn is_near_limit(&self) -> bool {
+        self.open_connections() * 4 > self.limits.max_connections * 3
+    }
+
+    /// The present idle timeout, which is shorter near the limit.
     fn idle_timeout(&self) -> Duration {
-        if self.open_connections() * 4 > self.limits.max_connections * 3 {
+        if self.is_near_limit() {
             NEAR_LIMIT_IDLE_TIMEOUT
         } else {
             IDLE_TIMEOUT
--- a/src/http/server/exchange.rs
+++ b/src/http/server/exchange.rs
@@ -109,6 +109,7 @@
     ) -> Option<ActiveConnection> {
         let ParsedRequest { request, close } = parsed;
         self.update_priority(&mut connection, &request);
+        let close = close || !self.connections.is_kept_open(connection.priority);
         let response = match catch_panic(|| self.handler.handle_without_blocking(request)) {
             Some(Ok(response)) => response,
             Some(Err(request)) => {
