Status requests cost the leader the same at any number of machines and users

Callers saw: at 4,000 machines followers left a fifth of the status requests unanswered long after the last fault, some jobs for more than a minute.

Cause, one product of two factors. The leader walked all machines under its lock for each status request of a running job: 16 us at 400 machines, 401 us at 4,000 on a full core, three times that on the sites' share. Followers sent one request for each question, and one timeout of 0.5 s made a follower ask the store instead for a second, whose share of 60 reads a second answers 20 questions. docs/design.md said that meanwhile the store answers.

Why it works: each job counts its running attempts (checked against the machines at each timer of a debug build), so an answer takes less than 0.1 us; a follower has at most two requests in flight, and lookups that arrive meanwhile share the next one. A leader of an earlier version, which closes the connection on the new request twice in a row, gets single requests.

--- a/crates/report/src/bin/fleet-size.rs
+++ b/crates/report/src/bin/fleet-size.rs
@@ -4,7 +4,7 @@
 use aspenreel_report::fleet_size::measure;
 use clap::Parser;
 
-/// Measures the memory of a leader, and its time for a heartbeat and a placement pass
+/// Measures the memory of a leader, and its time for a heartbeat, a placement pass and a status request
 #[derive(Debug, Parser)]
 struct Options {
     /// Number of machines in the fleet
@@ -15,12 +15,13 @@
 fn main() {
     let cost = measure(Options::parse().machines);
     println!(
-        "| {} | {} | {:.1} MB | {:.1} ms | {:.1} ms | {:.1} us |",
+        "| {} | {} | {:.1} MB | {:.1} ms | {:.1} ms | {:.1} us | {:.1} us |",
         cost.machines,
         cost.placed,
         cost.bytes as f64 / 1e6,
         cost.filling_pass.as_secs_f64() * 1e3,
         cost.full_pass.as_secs_f64() * 1e3,
-        cost.heartbeat.as_secs_f64() * 1e6
+        cost.heartbeat.as_secs_f64() * 1e6,
+        cost.status_request.as_secs_f64() * 1e6
     );
 }
--- a/crates/report/src/fleet_size.rs
+++ b/crates/report/src/fleet_size.rs
@@ -1,5 +1,5 @@
-//! Measures how the memory of a leader, and its time for a heartbeat and a placement pass, depend on the size of its
-//! fleet.
+//! Measures how the memory of a leader, and its time for a heartbeat, a placement pass and a status request, depend on
+//! the size of its fleet.
 
 use aspenreel::http::cbor::{decode, encode};
 use aspenreel::jobs::Submission;
@@ -17,6 +17,8 @@
 const TERM: u64 = 3;
 const TASKS_PER_MACHINE: u32 = 4;
 const CPUS_PER_TASK: f64 = 2.0;
+/// Number of status requests that are timed.
+const STATUS_REQUESTS: u32 = 500;
 /// Size of a memory page in bytes. `/proc/self/statm` counts in pages.
 const PAGE_BYTES: usize = 4096;
 
@@ -35,6 +37,8 @@
     pub full_pass: Duration,
     /// Mean duration of a heartbeat of a machine that runs its tasks.
     pub heartbeat: Duration,
+    /// Mean duration of a status request for a job that runs on all machines.
+    pub status_request: Duration,
 }
 
 /// Creates a leader with this many empty machines and a job that uses all their CPUs, and measures the leader's cost.
@@ -74,6 +78,7 @@
     }
     let heartbeat = heartbeats_start.elapsed() / machines;
     drop(heartbeats);
+    let status_request = time_status_requests(&scheduler);
     FleetCost {
         machines,
         bytes: resident_bytes().saturating_sub(before),
@@ -81,9 +86,18 @@
         filling_pass,
         full_pass,
         heartbeat,
+        status_request,
     }
 }
 
+fn time_status_requests(scheduler: &SchedulerState) -> Duration {
+    let start = Instant::now();
+    for _ in 0..STATUS_REQUESTS {
+        std::hint::black_box(scheduler.job_status("run-1"));
+    }
+    start.elapsed() / STATUS_REQUESTS
+}
+
 fn at(seconds: u64) -> Moment {
     Moment(365 * 24 * 3_600_000_000 + seconds * 1_000_000)
 }
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -19,7 +19,7 @@
 
 use crate::cli::ServeOptions;
 use crate::http::server::ServerMetrics;
-use crate::jobs::StatusMetrics;
+use crate::jobs::{StatusBatches, StatusMetrics};
 use crate::leadership::feature_level::FeatureLevel;
 use crate::leadership::{LeaderLease, LeaderRecord};
 use crate::link_health::{LinkHealth, ObservationQueue};
@@ -131,6 +131,8 @@
     pub catalog: Mutex<Option<Arc<Vec<MachineType>>>>,
     /// Connections from users and workers.
     pub server_metrics: Arc<ServerMetrics>,
+    /// Status lookups that wait for the leader's answer.
+    pub status_batches: StatusBatches,
     /// Answers to status requests.
     pub status_metrics: StatusMetrics,
     /// True while neither the store nor any peer answers this controller.
@@ -195,6 +197,7 @@
             )),
             catalog: Mutex::new(None),
             server_metrics: Arc::default(),
+            status_batches: StatusBatches::new(&*os),
             status_metrics: StatusMetrics::default(),
             isolated: AtomicBool::new(false),
             feature_level: Mutex::default(),
--- a/src/controller/peer_requests.rs
+++ b/src/controller/peer_requests.rs
@@ -15,6 +15,7 @@
             PeerRequest::Accept { body } => self.accept_for_peer(&body),
             PeerRequest::Links { view } => self.answer_view(&view),
             PeerRequest::LinkReport => self.answer_link_report(),
+            PeerRequest::Statuses { ids } => self.statuses_for_peer(&ids),
         }
     }
 
@@ -33,4 +34,21 @@
             LocalStatus::FinalWriteInFlight | LocalStatus::Unknown => PeerReply::Unknown,
         }
     }
+
+    /// Statuses of jobs from this controller's memory while it leads, all as of the same moment.
+    fn statuses_for_peer(&self, ids: &[String]) -> PeerReply {
+        let mut state = self.state();
+        let now = self.now();
+        if state.acting_leader(now).is_none() {
+            return PeerReply::NotLeading;
+        }
+        let views = ids
+            .iter()
+            .map(|id| match self.local_status_in(&mut state, id) {
+                LocalStatus::View(view) => Some(view),
+                LocalStatus::FinalWriteInFlight | LocalStatus::Unknown => None,
+            })
+            .collect();
+        PeerReply::Statuses { views }
+    }
 }
--- a/src/controller/process.rs
+++ b/src/controller/process.rs
@@ -2,6 +2,7 @@
 
 use super::Controller;
 use crate::http::server::{ServerLimits, serve};
+use crate::jobs::STATUS_SENDER_THREADS;
 use crate::os::System;
 use crate::peer::serve_peers;
 use std::io;
@@ -86,6 +87,9 @@
         for _ in 0..self.settings.settings.quota.command_sender_threads() {
             threads.push(thread("command-sender", Controller::command_sender_loop));
         }
+        for _ in 0..STATUS_SENDER_THREADS {
+            threads.push(thread("status-batch", Controller::status_batch_loop));
+        }
         threads
     }
 
--- a/src/jobs/api/mod.rs
+++ b/src/jobs/api/mod.rs
@@ -4,7 +4,10 @@
 mod cancel;
 mod for_peers;
 mod health;
+mod leader_status;
 mod messages;
 mod peers;
 mod status;
 mod submit;
+
+pub use leader_status::STATUS_SENDER_THREADS;
--- a/src/jobs/api/peers.rs
+++ b/src/jobs/api/peers.rs
@@ -35,13 +35,18 @@
         request: &PeerRequest,
         timeout: Duration,
     ) -> Option<PeerReply> {
-        let leader = self.state().known_leader.as_ref()?.node.clone();
-        match self.peers.get(&leader)?.call(request, timeout) {
+        match self.peer_that_leads()?.call(request, timeout) {
             Ok(reply) => Some(reply),
             Err(error) => {
-                log::debug!(node = leader, error:%; "call to leader failed");
+                log::debug!(error:%; "call to leader failed");
                 None
             }
         }
     }
+
+    /// Client of the leader, if it is known and is another controller.
+    pub(super) fn peer_that_leads(&self) -> Option<&PeerClient> {
+        let leader = self.state().known_leader.as_ref()?.node.clone();
+        self.peers.get(&leader)
+    }
 }
--- a/src/jobs/api/status.rs
+++ b/src/jobs/api/status.rs
@@ -1,13 +1,12 @@
 //! Lookup of a job's status in memory, at the leader, and in the key-value store.
 
 use super::messages::{job_status, retry_soon, unknown_job};
-use super::peers::PEER_TIMEOUT;
 use crate::controller::{Controller, ControllerState};
 use crate::http::server::Response;
 use crate::jobs::records::{done_key, final_key, job_key};
 use crate::jobs::wire::is_job_id;
 use crate::jobs::{
-    DoneRecord, FinalRecord, JobView, LocalStatus, Outcome, StatusSource, Submission,
+    DoneRecord, FinalRecord, JobView, LeaderAnswer, LocalStatus, Outcome, StatusSource, Submission,
 };
 use crate::os::time_left;
 use crate::peer::{PeerReply, PeerRequest};
@@ -21,6 +20,8 @@
 /// Maximum time that a status lookup waits while the write of the job's final state is in flight. The store mostly
 /// answers within it, and there is time left to read the record.
 const FINAL_WRITE_TIMEOUT: Micros = Micros::from_millis(300);
+/// Maximum time that a status lookup waits for the leader. The rest of [`LOOKUP_TIMEOUT`] is for the store and peers.
+const LEADER_TIMEOUT: Micros = Micros::from_millis(1200);
 /// Timeout of a read from the store on behalf of a user. It is shorter than that of other reads, so that there is
 /// time left to call a peer.
 const USER_READ_TIMEOUT: Duration = Duration::from_millis(700);
@@ -66,7 +67,8 @@
         self.local_status_in(&mut self.state(), id)
     }
 
-    fn local_status_in(&self, state: &mut ControllerState, id: &str) -> LocalStatus {
+    /// Status of a job as known to this controller, whose lock the caller holds.
+    pub(crate) fn local_status_in(&self, state: &mut ControllerState, id: &str) -> LocalStatus {
         let now = self.now();
         match (state.final_states.get(id), state.acting_leader(now)) {
             (Some(view), _) => LocalStatus::View(view),
@@ -111,11 +113,12 @@
         if let LocalStatus::View(view) = self.local_status_after_final_write(id) {
             return (StatusLookup::Job(view), StatusSource::Memory);
         }
-        let request = PeerRequest::Status { id: id.to_string() };
-        match self.call_leader(&request, PEER_TIMEOUT.duration()) {
-            Some(PeerReply::Job(view)) => return (StatusLookup::Job(view), StatusSource::Leader),
-            Some(_) => {}
-            None => self.status_metrics.note_leader_failure(),
+        match self.leader_status(id, self.now() + LEADER_TIMEOUT) {
+            LeaderAnswer::Status(view) => return (StatusLookup::Job(view), StatusSource::Leader),
+            LeaderAnswer::NotInMemory => {}
+            LeaderAnswer::NoAnswer | LeaderAnswer::Unsupported => {
+                self.status_metrics.note_leader_failure();
+            }
         }
         if self.store.is_answering(self.now()) {
             match self.stored_status(id, deadline) {
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -74,6 +74,8 @@
     bound_remaining: u32,
     /// The sum of the counts in `bound`.
     bound_attempts: u32,
+    /// Number of attempts that the newest reports of their machines show as running.
+    running_attempts: u32,
     /// True once a task of the job has run long enough for the job to count as begun.
     pub ran_long_enough: bool,
     /// Tasks that lost their last attempt without being done. They are placed first. Some of them may have been bound
@@ -120,6 +122,7 @@
             bound: HashMap::new(),
             bound_remaining: 0,
             bound_attempts: 0,
+            running_attempts: 0,
             ran_long_enough: false,
             requeued: BTreeSet::new(),
             cursor: 0,
@@ -295,6 +298,20 @@
         }
     }
 
+    /// Number of attempts that are running, according to the newest reports of workers.
+    pub fn running_attempts(&self) -> u32 {
+        self.running_attempts
+    }
+
+    /// Counts a change of whether an attempt is running.
+    pub fn count_running(&mut self, was_running: bool, is_running: bool) {
+        match (was_running, is_running) {
+            (false, true) => self.running_attempts += 1,
+            (true, false) => self.running_attempts = self.running_attempts.saturating_sub(1),
+            _ => {}
+        }
+    }
+
     /// Records the failure of a task. The backoff grows with each further machine on which a task fails, so that a
     /// job with a faulty submission doesn't starve the others.
     pub fn note_task_failure(&mut self, machine: &str, now: Moment) {
--- a/src/jobs/mod.rs
+++ b/src/jobs/mod.rs
@@ -27,6 +27,7 @@
 mod retirement;
 mod spec;
 mod status;
+mod status_batches;
 mod status_metrics;
 mod table;
 mod task_set;
@@ -36,6 +37,7 @@
 mod write_results;
 
 pub use admission_gate::AdmissionGate;
+pub use api::STATUS_SENDER_THREADS;
 pub use feasibility::Infeasible;
 pub use job::{Job, JobId, RunTimes};
 pub use pending_write::{PendingWrite, PendingWriteKind, page_write};
@@ -44,6 +46,7 @@
 };
 pub use spec::{JobKind, JobSpec, Priority};
 pub use status::{FinalWrite, JobView, LocalStatus, ViewState};
+pub use status_batches::{LeaderAnswer, PendingLookup, StatusBatches};
 pub use status_metrics::{StatusMetrics, StatusSource, StatusTotals};
 pub use table::JobTable;
 pub use task_set::{MalformedChunk, TaskSet};
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -15,7 +15,7 @@
 mod transport;
 mod wire;
 
-pub use client::{PeerClient, ViewExchange};
+pub use client::{PeerClient, StatusesReply, ViewExchange};
 pub use server::{PeerRequestHandler, serve_peers};
 pub use tcp_transport::TcpTransport;
 pub use transport::PeerTransport;
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -36,6 +36,11 @@
     },
     /// Asks for the receiver's report on its links, which an operator has requested. Earlier versions don't know it.
     LinkReport,
+    /// Asks the leader for the statuses of jobs that it has in memory. Earlier versions don't know it.
+    Statuses {
+        /// Ids of the jobs.
+        ids: Vec<String>,
+    },
 }
 
 /// Reply to a [`PeerRequest`].
@@ -64,4 +69,9 @@
         /// Encoded report.
         report: Vec<u8>,
     },
+    /// Statuses of the jobs of the request, in its order. `None` stands for [`PeerReply::Unknown`].
+    Statuses {
+        /// The statuses.
+        views: Vec<Option<JobView>>,
+    },
 }
--- a/src/scheduler/status.rs
+++ b/src/scheduler/status.rs
@@ -2,10 +2,12 @@
 
 use super::SchedulerState;
 use crate::invariants::violation_count;
-use crate::jobs::{FinalWrite, JobId, JobView, LocalStatus, ViewState};
+#[cfg(debug_assertions)]
+use crate::jobs::JobId;
+use crate::jobs::{FinalWrite, JobView, LocalStatus, ViewState};
 use crate::time::Moment;
 use crate::workers::wire::TaskStatus;
-use crate::workers::{Attempt, AttemptKey, DesiredState};
+use crate::workers::{Attempt, DesiredState};
 use std::collections::BTreeMap;
 
 /// Amounts of CPU are counted in thousandths.
@@ -14,7 +16,7 @@
 impl SchedulerState {
     /// Status of a job in this leader's memory. `id` is the id that the user gave the job.
     pub fn job_status(&self, id: &str) -> LocalStatus {
-        let (Some(job_id), Some(job)) = (self.jobs.find(id), self.jobs.get(id)) else {
+        let Some(job) = self.jobs.get(id) else {
             return LocalStatus::Unknown;
         };
         if let Some(outcome) = job.outcome {
@@ -24,7 +26,7 @@
             return LocalStatus::FinalWriteInFlight;
         }
         let running = if job.is_bound() {
-            self.running_task_count(job_id)
+            job.running_attempts()
         } else {
             0
         };
@@ -39,13 +41,18 @@
         })
     }
 
-    /// Number of running tasks of the job, according to the newest reports of workers.
-    fn running_task_count(&self, id: JobId) -> u32 {
-        self.machines
-            .values()
-            .flat_map(|m| m.attempts.range(AttemptKey::range_of_job(id)))
-            .filter(|(_, a)| a.status == Some(TaskStatus::Running))
-            .count() as u32
+    /// Panics if the number of running attempts that a job keeps differs from that of the attempts on all machines.
+    #[cfg(debug_assertions)]
+    pub(super) fn check_running_attempts(&self) {
+        let mut counted: BTreeMap<JobId, u32> = BTreeMap::new();
+        let attempts = self.machines.values().flat_map(|m| m.attempts.iter());
+        for (key, _) in attempts.filter(|(_, a)| a.is_running()) {
+            *counted.entry(key.job).or_insert(0) += 1;
+        }
+        for (id, job) in &self.jobs.table {
+            let counted = counted.get(id).copied().unwrap_or(0);
+            assert_eq!(job.running_attempts(), counted, "job {}", job.spec.id);
+        }
     }
 
     /// Log line that summarizes direct calls, unconfirmed starts and violated invariants.
--- a/src/scheduler/timer.rs
+++ b/src/scheduler/timer.rs
@@ -8,6 +8,8 @@
     /// Handles everything that becomes due with time: expired leases, checks of revocations, retries and placement
     /// passes.
     pub fn on_timer(&mut self, now: Moment) {
+        #[cfg(debug_assertions)]
+        self.check_running_attempts();
         self.expire_leases(now);
         self.check_revocations(now);
         let is_retry_due = self.jobs.table.values().any(|job| is_retry_due(job, now));
--- a/src/workers/agent_epochs.rs
+++ b/src/workers/agent_epochs.rs
@@ -43,9 +43,11 @@
             if attempt.delivery.unconfirmed().is_some() {
                 self.fencing.counters.ended_by_epoch += 1;
             }
-            if attempt.holds_resources()
-                && let Some(job) = self.jobs.table.get_mut(&key.job)
-            {
+            let Some(job) = self.jobs.table.get_mut(&key.job) else {
+                continue;
+            };
+            job.count_running(attempt.is_running(), false);
+            if attempt.holds_resources() {
                 job.unbind(key.task);
             }
         }
--- a/src/workers/attempt.rs
+++ b/src/workers/attempt.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// True if the newest report of its machine shows the attempt as running.
+    pub fn is_running(&self) -> bool {
+        self.status == Some(TaskStatus::Running)
+    }
+
     /// True while the attempt may use resources of the machine.
     pub fn holds_resources(&self) -> bool {
         self.bound
--- a/src/workers/heartbeat_commands.rs
+++ b/src/workers/heartbeat_commands.rs
@@ -75,8 +75,9 @@
             return;
         };
         for key in keys {
-            machine.attempts.remove(&key);
+            let dropped = machine.attempts.remove(&key);
             if let Some(job) = self.jobs.table.get_mut(&key.job) {
+                job.count_running(dropped.is_some_and(|attempt| attempt.is_running()), false);
                 job.unbind(key.task);
             }
             self.placement.due = true;
--- a/src/workers/missing_attempts.rs
+++ b/src/workers/missing_attempts.rs
@@ -79,9 +79,11 @@
                 continue;
             };
             log_release(&report.machine, key, reason, now - attempt.placed_at);
-            if attempt.holds_resources()
-                && let Some(job) = self.jobs.table.get_mut(&key.job)
-            {
+            let Some(job) = self.jobs.table.get_mut(&key.job) else {
+                continue;
+            };
+            job.count_running(attempt.is_running(), false);
+            if attempt.holds_resources() {
                 job.unbind(key.task);
                 self.placement.due = true;
             }
--- a/src/workers/reported_tasks.rs
+++ b/src/workers/reported_tasks.rs
@@ -27,7 +27,9 @@
         };
         let known = machine.attempts.get(&key).cloned();
         let mut attempt = known.unwrap_or_else(|| discover_attempt(job, key, task, now));
+        let was_running = attempt.is_running();
         let previous = attempt.status.replace(task.status);
+        job.count_running(was_running, attempt.is_running());
         if previous.is_none() {
             check_first_report(
                 job,
--- a/tests/unit.rs
+++ b/tests/unit.rs
@@ -4,9 +4,10 @@
 
 use aspenreel::jobs::TaskSet;
 use aspenreel::os::{EventCount, HttpClient, Os, System};
-use aspenreel::peer::{PeerClient, PeerRequest};
+use aspenreel::peer::{PeerClient, PeerReply, PeerRequest, StatusesReply};
 use aspenreel::time::{Clock, Micros, Moment, WallTime};
 use aspenreel::workers::WorkerClientPool;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -64,6 +65,48 @@
     assert_eq!(new_connections(), 2);
 }
 
+/// Answers pings, and closes the connection after any other request, as earlier versions do for requests that they don't
+/// know. Returns the number of the requests that were not pings.
+fn serve_as_earlier_version(listener: TcpListener) -> Arc<AtomicU64> {
+    let requests = Arc::new(AtomicU64::new(0));
+    let counted = requests.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut length = [0; 4];
+            stream.read_exact(&mut length).unwrap();
+            let mut body = vec![0; u32::from_le_bytes(length) as usize];
+            stream.read_exact(&mut body).unwrap();
+            if body == borsh::to_vec(&PeerRequest::Ping).unwrap() {
+                let reply = borsh::to_vec(&PeerReply::Unknown).unwrap();
+                let length = (reply.len() as u32).to_le_bytes();
+                stream
+                    .write_all(&[&length[..], &reply[..]].concat())
+                    .unwrap();
+            } else {
+                counted.fetch_add(1, Ordering::SeqCst);
+            }
+        }
+    });
+    requests
+}
+
+#[test]
+fn status_batches_are_not_sent_again_to_a_leader_of_an_earlier_version() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let client = PeerClient::new(Arc::new(System::default()), listener.local_addr().unwrap());
+    let requests = serve_as_earlier_version(listener);
+    for _ in 0..3 {
+        let reply = client.request_statuses(vec!["run-1".to_string()], Duration::from_secs(5));
+        assert_eq!(reply, StatusesReply::Unsupported);
+    }
+    let attempts_to_determine_the_version = 2;
+    assert_eq!(
+        requests.load(Ordering::SeqCst),
+        attempts_to_determine_the_version
+    );
+}
+
 /// The real system, except for its clock, which shows the given number of seconds.
 struct ManualClock(System, AtomicU64);
 
