--- a/src/controller/request_log.rs
+++ b/src/controller/request_log.rs
@@ -11,12 +11,13 @@
 /// Minimum time between two warnings.
 const WARNING_INTERVAL: Micros = Micros::from_secs(60);
 
-/// Totals of the requests that this controller did not answer.
+/// Totals of the requests that this controller did not answer, or answered late.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Failures {
     unanswered_status_requests: u64,
     refused_connections: u64,
     rejected_requests: u64,
+    late_responses: u64,
 }
 
 /// What was last logged about requests.
@@ -40,7 +41,7 @@
         }
     }
 
-    /// Warns about requests that were not answered since the last warning.
+    /// Warns about requests that were not answered in time since the last warning.
     fn warn_about_failures(&mut self, controller: &Controller) {
         let failures = Failures::of(controller);
         let earlier = std::mem::replace(&mut self.failures_at_warning, failures);
@@ -51,7 +52,8 @@
             unanswered_status_requests =
                 failures.unanswered_status_requests - earlier.unanswered_status_requests,
             refused_connections = failures.refused_connections - earlier.refused_connections,
-            rejected_requests = failures.rejected_requests - earlier.rejected_requests;
+            rejected_requests = failures.rejected_requests - earlier.rejected_requests,
+            late_responses = failures.late_responses - earlier.late_responses;
             "requests not answered"
         );
     }
@@ -64,6 +66,7 @@
             unanswered_status_requests: controller.status_metrics.totals().unanswered,
             refused_connections: server.refused_connections.load(Ordering::Relaxed),
             rejected_requests: server.rejected_requests.load(Ordering::Relaxed),
+            late_responses: server.late_responses.load(Ordering::Relaxed),
         }
     }
 }
--- a/src/http/server/exchange.rs
+++ b/src/http/server/exchange.rs
@@ -147,6 +147,7 @@
                 .note_queue_wait(queued_at.elapsed());
             let handled = catch_panic(|| self.handler.handle(request));
             let response = handled.unwrap_or_else(unavailable);
+            self.connections.metrics.note_response(queued_at.elapsed());
             if let Some(connection) = self.send_response(connection, response, close) {
                 self.process_requests(connection);
             }
--- a/src/http/server/metrics.rs
+++ b/src/http/server/metrics.rs
@@ -3,6 +3,9 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+/// Age of a request from which its response counts as late: users wait two seconds for the status of a job.
+const LATE_RESPONSE_AGE: Duration = Duration::from_secs(2);
+
 /// Number of open connections, and what the server did at its limits. All totals count since the server started.
 #[derive(Debug, Default)]
 pub struct ServerMetrics {
@@ -14,6 +17,9 @@
     pub refused_connections: AtomicU64,
     /// Total of requests that were rejected because the queue of the thread pool was full.
     pub rejected_requests: AtomicU64,
+    /// Total of responses that took longer than most clients wait, from the arrival of the request to the response. Only
+    /// requests that the thread pool answers are timed.
+    pub late_responses: AtomicU64,
     /// Longest time in microseconds that a request waited for a pool thread, since it was last taken.
     longest_queue_wait_us: AtomicU64,
 }
@@ -26,6 +32,13 @@
             .fetch_max(wait_us, Ordering::Relaxed);
     }
 
+    /// Counts the response to a request that arrived `age` ago if it is late.
+    pub(super) fn note_response(&self, age: Duration) {
+        if age > LATE_RESPONSE_AGE {
+            self.late_responses.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
     /// Returns the longest wait for a pool thread since the previous call.
     pub fn take_longest_queue_wait(&self) -> Duration {
         Duration::from_micros(self.longest_queue_wait_us.swap(0, Ordering::Relaxed))
