--- a/crates/soak/src/controllers.rs
+++ b/crates/soak/src/controllers.rs
@@ -2,8 +2,7 @@
 
 use aspenreel_simulation::stand_ins::processes::spawn_controller;
 use rustix::process::{Pid, Signal, kill_process};
-use std::fs::{File, OpenOptions};
-use std::io::Read;
+use std::fs::OpenOptions;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Stdio};
 use std::sync::{Mutex, MutexGuard};
@@ -33,6 +32,11 @@
     config.with_extension("log")
 }
 
+/// Returns the log of the controller with this settings file, or nothing if it can't be read.
+fn read_log(config: &Path) -> String {
+    std::fs::read_to_string(log_path(config)).unwrap_or_default()
+}
+
 /// The controller processes. They are killed when this value is dropped.
 pub struct Controllers {
     launch: Launch,
@@ -98,13 +102,20 @@
         }
     }
 
-    /// Returns the controllers whose processes have exited. At the end of a run all killed processes have been
-    /// restarted, so these exited by themselves.
-    pub fn exited(&self) -> Vec<usize> {
+    /// Returns a description of each controller whose process has exited, with its status and the last line of its log.
+    /// At the end of a run all killed processes have been restarted, so these exited by themselves.
+    pub fn exited(&self) -> Vec<String> {
         let mut children = self.children();
-        let has_exited = |child: &mut Child| matches!(child.try_wait(), Ok(Some(_)));
-        (0..children.len())
-            .filter(|node| has_exited(&mut children[*node]))
+        let described = children.iter_mut().zip(&self.configs).enumerate();
+        described
+            .filter_map(|(node, (child, config))| {
+                let status = child.try_wait().ok()??;
+                let log = read_log(config);
+                let last_line = log.lines().last().unwrap_or_default();
+                Some(format!(
+                    "controller {node} exited by itself: {status} {last_line}"
+                ))
+            })
             .collect()
     }
 
@@ -112,10 +123,7 @@
     pub fn violations(&self) -> Vec<String> {
         let mut found = Vec::new();
         for config in &self.configs {
-            let mut text = String::new();
-            if let Ok(mut file) = File::open(log_path(config)) {
-                let _ = file.read_to_string(&mut text);
-            }
+            let text = read_log(config);
             let is_violation =
                 |line: &&str| line.contains(VIOLATION) || line.contains("panicked at");
             found.extend(text.lines().filter(is_violation).map(String::from));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -165,12 +165,7 @@
 /// Adds the results of the controllers' logs, their processes and the checker to the report.
 fn collect_results(cluster: &LoopbackCluster, controllers: &Controllers, report: &mut RunReport) {
     report.failures.extend(controllers.violations());
-    let exited = controllers.exited();
-    report.failures.extend(
-        exited
-            .iter()
-            .map(|node| format!("controller {node} exited by itself")),
-    );
+    report.failures.extend(controllers.exited());
     cluster.with_checker(|checker, now| {
         checker.check_time_limits(now);
         report.failures.extend(checker.violations.iter().cloned());
