--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -117,7 +117,7 @@
     }
 
     /// Requests the statuses of jobs from the leader. A leader of an earlier version isn't asked again for
-    /// [`VERSION_CHECK_INTERVAL`].
+    /// `VERSION_CHECK_INTERVAL`.
     pub fn request_statuses(&self, ids: Vec<String>, timeout: Duration) -> StatusesReply {
         if self.has_single_jobs_only() {
             return StatusesReply::Unsupported;
