--- a/crates/simulation/src/checker.rs
+++ b/crates/simulation/src/checker.rs
@@ -82,6 +82,9 @@
     pub violations: Vec<String>,
     /// Starts of tasks after a user knew that their job is cancelled, but within the time for a cancellation.
     pub late_starts: Vec<String>,
+    /// Once all faults are over: their end, and the time within which each accepted job must then get an answer to a
+    /// status request.
+    answers_expected: Option<(Time, Time)>,
     /// Number of starts of tasks so far.
     pub starts: u32,
     /// Number of jobs that users know to be cancelled.
@@ -110,6 +113,12 @@
             .push(format!("{:.3} {rule}: {text}", now as f64 / 1e6));
     }
 
+    /// Records that all faults ended at `now`. From then on some status request about each accepted job must be answered
+    /// within `limit`.
+    pub fn faults_ended(&mut self, now: Time, limit: Time) {
+        self.answers_expected = Some((now, limit));
+    }
+
     /// Records that a user is about to submit this job.
     pub fn submitted(&mut self, plan: &JobPlan) {
         let job = ObservedJob {
@@ -144,6 +153,13 @@
                 let text = format!("{id}: no status request answered for 90 s");
                 self.note(now, "job_lost", text);
             }
+            if let Some((ended_at, limit)) = self.answers_expected
+                && now.saturating_sub(since.max(ended_at)) > limit
+            {
+                let seconds = (now - since.max(ended_at)) as f64 / 1e6;
+                let text = format!("{id}: no answer for {seconds:.1} s after all faults");
+                self.note(now, "job_lost", text);
+            }
         }
     }
 
--- a/crates/simulation/src/stand_ins/deployment.rs
+++ b/crates/simulation/src/stand_ins/deployment.rs
@@ -7,10 +7,16 @@
 /// controllers.
 pub const CANCEL_S: f64 = 8.0;
 
+/// Name of the team whose jobs wait: it may use [`SMALL_TEAM_CPUS`] only.
+pub const SMALL_TEAM: &str = "b";
+
+/// CPU limit of the small team, all of it guaranteed.
+pub const SMALL_TEAM_CPUS: f64 = 1.0;
+
 /// Settings that differ between tests.
 #[derive(Clone, Debug)]
 pub struct Deployment {
-    /// CPU limit of the only team; half of it is guaranteed.
+    /// CPU limit of team `a`; half of it is guaranteed.
     pub team_cpus: f64,
     /// Number of sockets that a controller may have open.
     pub sockets: u32,
--- a/crates/simulation/src/stand_ins/loopback_users.rs
+++ b/crates/simulation/src/stand_ins/loopback_users.rs
@@ -100,6 +100,8 @@
         let kind = match accepted {
             false => RequestKind::Submit,
             true if wants_cancel && self.rng.u32(0..4) == 0 => RequestKind::Cancel,
+            // A repeated submission, which must get the state of the job.
+            true if self.rng.u32(0..10) == 0 => RequestKind::Submit,
             true => RequestKind::Status,
         };
         if kind == RequestKind::Cancel {
--- a/crates/simulation/src/stand_ins/processes.rs
+++ b/crates/simulation/src/stand_ins/processes.rs
@@ -1,6 +1,6 @@
 //! Starts real controller processes on loopback, and sends them requests.
 
-use crate::stand_ins::deployment::{CANCEL_S, Deployment, LEASE_S};
+use crate::stand_ins::deployment::{CANCEL_S, Deployment, LEASE_S, SMALL_TEAM, SMALL_TEAM_CPUS};
 use crate::stand_ins::ports::Addresses;
 use crate::stand_ins::store_server::StoreServer;
 use aspenreel::http::cbor::{decode, encode};
@@ -56,7 +56,8 @@
                  peer_listen = \"{}\"\n{members}\
                  [endpoints]\ncloud = \"{cloud}\"\nstate = \"{store}\"\n\
                  [settings]\nzones = [\"east\"]\nskew_ms = 5.0\n\
-                 teams = [{{ name = \"a\", cpus = {:?}, cpus_max = {:?} }}]\n\
+                 teams = [{{ name = \"a\", cpus = {:?}, cpus_max = {:?} }},\n\
+                   {{ name = \"{SMALL_TEAM}\", cpus = {SMALL_TEAM_CPUS:?}, cpus_max = {SMALL_TEAM_CPUS:?} }}]\n\
                  workers = {{ report_s = 0.5, lease_s = {LEASE_S:?}, cancel_s = {CANCEL_S:?} }}\n\
                  state = {{ rps = {:?}, write_rps = 200.0, value_kb = 8.0, txn_ops = 12 }}\n\
                  cloud = {{ rps = 50.0, list_lag_s = 1.0 }}\nquota = {{ sockets = {} }}\n",
@@ -179,8 +180,13 @@
 
 /// Encodes a submission of an array job of team `a`.
 pub fn job(id: &str, tasks: u32, cpus: f64) -> Vec<u8> {
+    job_of_team("a", id, tasks, cpus)
+}
+
+/// Encodes a submission of an array job.
+pub fn job_of_team(team: &str, id: &str, tasks: u32, cpus: f64) -> Vec<u8> {
     let wire = cbor!({
-        "ref" => id, "lane" => "train", "crew" => "a", "shape" => "array", "rank" => "normal",
+        "ref" => id, "lane" => "train", "crew" => team, "shape" => "array", "rank" => "normal",
         "pieces" => tasks, "cpus" => cpus, "gpus" => 0, "ramGb" => 1.0, "bundle" => "img",
         "imageGb" => 1.0, "builds" => null, "samePlace" => false, "spread" => false,
         "loaners" => true, "guessS" => 1, "bookmarkS" => 0, "stashS" => 0, "extra" => [1, 2]
--- a/crates/simulation/src/stand_ins/worker.rs
+++ b/crates/simulation/src/stand_ins/worker.rs
@@ -301,15 +301,16 @@
     /// refusal names as leader; after a refusal without a known name, or a failure, to the next controller.
     pub fn run(self: Arc<Self>, controllers: Vec<(String, SocketAddr)>) {
         let mut controller = 0;
+        let mut client = Client::new(controllers[controller].1);
         while !self.is_gone() {
             std::thread::sleep(self.environment.heartbeat_interval());
             self.expire_lease();
             let sent = Instant::now();
-            let client = Client::new(controllers[controller].1);
             let heartbeat = self.next_heartbeat(controller);
             self.controller.store(controller, Ordering::Relaxed);
             let body = encode(&heartbeat);
             let result = client.call("POST", "/checkin", &body, HEARTBEAT_TIMEOUT);
+            let called = controller;
             match result {
                 Ok(ClientResponse { status: 200, body }) => {
                     self.apply_reply(&decode(&body).unwrap(), heartbeat.agent_epoch, sent)
@@ -322,6 +323,9 @@
                 }
                 _ => controller = (controller + 1) % controllers.len(),
             }
+            if controller != called {
+                client = Client::new(controllers[controller].1);
+            }
         }
     }
 }
--- a/crates/simulation/tests/checker.rs
+++ b/crates/simulation/tests/checker.rs
@@ -133,6 +133,27 @@
     assert_eq!(rules(&checker), ["job_lost"]);
 }
 
+#[test]
+fn jobs_without_an_answer_after_all_faults_violate_job_lost() {
+    let mut checker = accepted(|_| ());
+    checker.faults_ended(secs(30.0), secs(15.0));
+    let ask = |checker: &mut Checker, sent: f64| {
+        checker.unanswered("run-1", RequestKind::Status, secs(sent), secs(sent + 2.0));
+    };
+    ask(&mut checker, 5.0);
+    ask(&mut checker, 42.0);
+    assert_eq!(rules(&checker), [""; 0], "faults ended 14 s ago");
+    ask(&mut checker, 44.0);
+    assert_eq!(rules(&checker), ["job_lost"]);
+    checker.answered(
+        "run-1",
+        &answer(RequestKind::Status, 47.0, 48.0, 200, "queued"),
+    );
+    ask(&mut checker, 50.0);
+    ask(&mut checker, 60.0);
+    assert_eq!(rules(&checker), ["job_lost"], "a new question was answered");
+}
+
 #[test]
 fn answers_and_starts_of_unsubmitted_jobs_violate_unknown_job() {
     let mut checker = accepted(|_| ());
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod controllers;
 pub mod run;
 pub mod schedule;
+mod status_crowd;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -28,6 +28,9 @@
     /// Length of the period in which faults begin, in seconds
     #[arg(long, default_value_t = 40)]
     seconds: u64,
+    /// Run with few connections and store requests, slow answers between controllers, and many status requests
+    #[arg(long)]
+    scarce: bool,
     /// Print the faults of each seed instead of running them
     #[arg(long)]
     schedules: bool,
@@ -62,6 +65,7 @@
             seed,
             workers: options.workers,
             fault_period: Duration::from_secs(options.seconds),
+            is_scarce: options.scarce,
         };
         let report = run(&plan, &stop);
         executed += 1;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,7 +2,8 @@
 
 use crate::controllers::{self, Controllers, Launch};
 use crate::schedule::{Fault, PlannedFault, Schedule, Target};
-use aspenreel_simulation::directions::Direction;
+use crate::status_crowd::StatusCrowd;
+use aspenreel_simulation::directions::{Direction, Endpoint};
 use aspenreel_simulation::stand_ins::deployment::{CANCEL_S, Deployment};
 use aspenreel_simulation::stand_ins::loopback_cluster::{LoopbackCluster, NODES};
 use aspenreel_simulation::stand_ins::loopback_users::{Demand, Users};
@@ -25,6 +26,18 @@
 /// Flags of a run with more than `MANY_WORKERS` workers: idle machines are kept, so that the run has all its machines
 /// from start to end.
 const KEEP_MACHINES_FLAGS: [&str; 2] = ["--idle-ms", "3600000"];
+/// Time after the end of all faults within which some status request about each job must be answered: 75 s, scaled as
+/// the leases are.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(15);
+/// Store requests a second for all controllers together, in a run with scarce resources: in the same ratio to the
+/// status requests as at 4,000 machines.
+const SCARCE_STORE_RPS: f64 = 60.0;
+/// Sockets of a controller in a run with scarce resources, in addition to those for workers. The number of threads for
+/// users' requests follows from it, and is not what is scarce: each lookup takes a thread while it waits for the leader.
+const CROWD_SOCKETS: u32 = 1200;
+/// Delay of each message between controllers in a run with scarce resources. A request and its answer together take
+/// as long as at a leader that is short of processor time.
+const SCARCE_DELAY: Duration = Duration::from_millis(300);
 /// Interval at which a waiting thread checks whether the run has been stopped.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -39,6 +52,9 @@
     pub workers: u32,
     /// Length of the period, from the start of the run, in which faults begin.
     pub fault_period: Duration,
+    /// True if controllers have few connections and store requests, answer each other slowly, and get many status
+    /// requests.
+    pub is_scarce: bool,
 }
 
 /// Result of a run.
@@ -63,16 +79,15 @@
 /// Executes one run. All its processes have ended and all its files are deleted when this returns.
 pub fn run(plan: &RunPlan, stop: &AtomicBool) -> RunReport {
     let began = Instant::now();
-    let deployment = Deployment {
-        team_cpus: f64::from(plan.workers) * MACHINE_CPUS,
-        sockets: 500 + 4 * plan.workers,
-        ..Deployment::default()
-    };
+    let deployment = deployment(plan);
     let tag = format!("soak-{}", plan.seed);
     let launch = launch(plan);
     let spawn = |config: &Path| controllers::spawn(&launch, config);
     let mut cluster = LoopbackCluster::start(&tag, &deployment, spawn);
     prepare(&cluster, plan.workers);
+    if plan.is_scarce {
+        delay_answers_between_controllers(&cluster);
+    }
     let children = std::mem::take(&mut cluster.nodes.children);
     let controllers = Controllers::new(launch, &cluster.nodes.configs, children);
     let schedule = Schedule::draw(plan.seed, plan.fault_period);
@@ -81,6 +96,7 @@
         controllers: &controllers,
         began: Instant::now(),
         stop,
+        is_scarce: plan.is_scarce,
     };
     let users_until = plan.fault_period + submission_time_after_faults();
     std::thread::scope(|scope| {
@@ -88,7 +104,15 @@
             let run = &run;
             scope.spawn(move || run.run_users(plan, number, users_until));
         }
-        run.inject_faults(scope, &schedule);
+        if plan.is_scarce {
+            let crowd = StatusCrowd::new(&cluster, plan.seed, stop);
+            scope.spawn(move || crowd.run(users_until));
+        }
+        let faults = run.inject_faults(scope, &schedule);
+        faults.into_iter().for_each(|fault| drop(fault.join()));
+        cluster.with_checker(|checker, now| {
+            checker.faults_ended(now, ANSWERED_WITHIN.as_micros() as u64);
+        });
     });
     let mut report = RunReport {
         is_partial: stop.load(Ordering::Relaxed),
@@ -100,6 +124,32 @@
     report
 }
 
+fn deployment(plan: &RunPlan) -> Deployment {
+    let deployment = Deployment {
+        team_cpus: f64::from(plan.workers) * MACHINE_CPUS,
+        sockets: 500 + 4 * plan.workers,
+        ..Deployment::default()
+    };
+    match plan.is_scarce {
+        true => Deployment {
+            store_rps: SCARCE_STORE_RPS,
+            sockets: CROWD_SOCKETS + 4 * plan.workers,
+            ..deployment
+        },
+        false => deployment,
+    }
+}
+
+/// Delays all messages between controllers.
+fn delay_answers_between_controllers(cluster: &LoopbackCluster) {
+    let nodes = || (0..NODES).map(Endpoint::Node);
+    for from in nodes() {
+        for to in nodes().filter(|to| *to != from) {
+            cluster.set_traffic(Direction::new(from, to), Traffic::Delayed(SCARCE_DELAY));
+        }
+    }
+}
+
 /// Returns the program and flags of the controllers.
 fn launch(plan: &RunPlan) -> Launch {
     let flags: &[&str] = match plan.workers > MANY_WORKERS {
@@ -157,6 +207,7 @@
     controllers: &'a Controllers,
     began: Instant,
     stop: &'a AtomicBool,
+    is_scarce: bool,
 }
 
 impl Run<'_> {
@@ -199,11 +250,16 @@
         }
     }
 
-    /// Starts a thread for each fault of the schedule: faults may overlap.
-    fn inject_faults<'s>(&'s self, scope: &'s std::thread::Scope<'s, '_>, schedule: &Schedule) {
-        for planned in schedule.0.clone() {
-            scope.spawn(move || self.inject_fault(planned));
-        }
+    /// Starts a thread for each fault of the schedule, since faults may overlap. Each thread ends with its fault.
+    fn inject_faults<'s, 'e>(
+        &'s self,
+        scope: &'s std::thread::Scope<'s, 'e>,
+        schedule: &Schedule,
+    ) -> Vec<std::thread::ScopedJoinHandle<'s, ()>> {
+        let planned = schedule.0.iter().copied();
+        planned
+            .map(|planned| scope.spawn(move || self.inject_fault(planned)))
+            .collect()
     }
 
     fn inject_fault(&self, planned: PlannedFault) {
@@ -227,7 +283,8 @@
                 let direction = Direction::all_of(self.target_node(target), NODES)[direction];
                 self.cluster.set_traffic(direction, traffic);
                 self.wait_for(lasts);
-                self.cluster.set_traffic(direction, Traffic::Passes);
+                self.cluster
+                    .set_traffic(direction, self.traffic_without_faults(direction));
             }
             Fault::DelayCommands {
                 target,
@@ -262,6 +319,13 @@
         }
     }
 
+    fn traffic_without_faults(&self, direction: Direction) -> Traffic {
+        match (self.is_scarce, direction.from, direction.to) {
+            (true, Endpoint::Node(_), Endpoint::Node(_)) => Traffic::Delayed(SCARCE_DELAY),
+            _ => Traffic::Passes,
+        }
+    }
+
     fn target_node(&self, target: Target) -> usize {
         match target {
             Target::Leader => self.cluster.current_leader().unwrap_or(0),
