--- a/src/jobs/gate_writer.rs
+++ b/src/jobs/gate_writer.rs
@@ -29,7 +29,7 @@
             }
             Ok(TransactionOutcome::Conflict { failed }) if failed == [FULL_KEY] => {
                 // An earlier write whose outcome was unknown has been executed.
-                if let Ok(row) = store.get(FULL_KEY, StorePriority::Normal) {
+                if let Ok(row) = store.get(FULL_KEY, StorePriority::Leadership) {
                     let revision = row.as_ref().map_or(0, |row| row.revision);
                     gate.confirm(row.is_some(), revision);
                 }
--- a/src/jobs/read_back.rs
+++ b/src/jobs/read_back.rs
@@ -34,7 +34,7 @@
     }
 
     fn read_back_done_set(&self, term: u64, key: &str, id: &str, chunk: u32) {
-        match self.store.get(key, StorePriority::Normal) {
+        match self.store.get(key, StorePriority::Leadership) {
             Ok(Some(row)) => {
                 let record: DoneRecord = from_value(&row.data).unwrap_or_default();
                 self.with_scheduler(term, |scheduler| {
@@ -60,7 +60,7 @@
         number: &str,
         set_revision: impl FnOnce(&mut SchedulerState, u32, u64),
     ) {
-        let revision = match self.store.get(key, StorePriority::Normal) {
+        let revision = match self.store.get(key, StorePriority::Leadership) {
             Ok(row) => row.map_or(0, |row| row.revision),
             Err(error) => {
                 log::debug!(key, error:%; "failed to read back page revision");
@@ -78,10 +78,10 @@
         let Some(id) = key.strip_prefix(JOBS_PREFIX) else {
             return;
         };
-        let Ok(None) = self.store.get(key, StorePriority::Normal) else {
+        let Ok(None) = self.store.get(key, StorePriority::Leadership) else {
             return;
         };
-        let Ok(Some(row)) = self.store.get(&final_key(id), StorePriority::Normal) else {
+        let Ok(Some(row)) = self.store.get(&final_key(id), StorePriority::Leadership) else {
             return;
         };
         let Some(record) = from_value::<FinalRecord>(&row.data) else {
--- a/src/leadership/fencing_counter.rs
+++ b/src/leadership/fencing_counter.rs
@@ -58,7 +58,7 @@
     /// Reads the term counter back after a conflict. It was changed either by a transaction of this leader that got
     /// no answer, or by the change to the fenced form ([`super::feature_level_loop`]).
     fn read_term_counter(&self, term: u64) {
-        let Ok(Some(stored)) = self.store.get(TERM_KEY, StorePriority::Normal) else {
+        let Ok(Some(stored)) = self.store.get(TERM_KEY, StorePriority::Leadership) else {
             return;
         };
         match TermCounter::read(Some(&stored)) {
--- a/src/leadership/job_watch_loop.rs
+++ b/src/leadership/job_watch_loop.rs
@@ -105,7 +105,7 @@
                 JOBS_PREFIX,
                 after.as_deref(),
                 PAGE_SIZE,
-                StorePriority::Normal,
+                StorePriority::Leadership,
             );
             let Ok(page) = page else {
                 self.pause_before_retry();
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -252,7 +252,7 @@
             method: "GET",
             path: &format!("/changes?starts={prefix}&since={since}&holdMs={wait_ms}"),
             body: &[],
-            priority: StorePriority::Normal,
+            priority: StorePriority::Leadership,
             timeout: wait.duration() + WATCH_GRACE,
         };
         let response = self.connection.send(&request)?;
--- a/src/store/connection.rs
+++ b/src/store/connection.rs
@@ -29,7 +29,8 @@
 /// Priority of a request in this controller's share of the store's request rate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StorePriority {
-    /// Elections and renewals of the leader lease; never rejected by the rate limit.
+    /// Elections, renewals of the leader lease, watches, and reads without which the leader can't do its work; never
+    /// rejected by the rate limit, so that lookups for users can't block them.
     Leadership,
     /// A write that the leader's write budget has already admitted; never rejected by the rate limit, so that reads
     /// for users can't block it.
