Copies of an executed start command are refused before its attempt is cleared

Cause: an answered start counted as settled. The worker ignores a copy only while it holds the attempt; the leader cleared the attempt under the very fencing token that the command carries, so the copy was valid again.

Change: an answered start has a status of its own with the command's token (DeliveryStatus::Answered). Its exited attempt is cleared only in a reply with a higher token, which the worker adopts with the clear. The leader raises the token for such clears at most each 5 s. Tasks that are recorded as done are cleared as before (a worker that starts one again only reports its result), unless the job is cancelled. A cancelled job isn't retired before its answered starts are settled, since orphans are cleared without a check. An attempt of the own term that the leader doesn't know counts as started with its newest token.

The simulated network can repeat commands, and the simulated worker keeps the result of a done task, as the protocol says.

--- a/crates/simulation/src/checker.rs
+++ b/crates/simulation/src/checker.rs
@@ -352,6 +352,13 @@
         self.jobs.get(id).is_some_and(is_complete)
     }
 
+    /// True if this task of the job has ended successfully. Never true for a replica of a standing job.
+    pub fn is_done(&self, id: &str, task: u32) -> bool {
+        self.jobs
+            .get(id)
+            .is_some_and(|job| job.done.contains(&task))
+    }
+
     /// Number of tasks of all jobs that have ended successfully.
     pub fn tasks_done(&self) -> usize {
         self.jobs.values().map(|job| job.done.len()).sum()
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -2,6 +2,7 @@
 
 use crate::delayed_commands::DelayedCommands;
 use crate::directions::Direction;
+use crate::repeated_commands::RepeatedCommands;
 use crate::scheduler::{Time, secs};
 use crate::setup::LEASE_S;
 use crate::simulation::Simulation;
@@ -145,4 +146,16 @@
         };
         self.note_fault(span + longest);
     }
+
+    /// Repeats a random share of the direct commands for `span` seconds. The commands are delivered and answered as
+    /// usual. A copy of each arrives after a delay drawn from `delay_s`, in seconds; its answer is lost.
+    pub fn repeat_commands(&self, share: f64, delay_s: Range<f64>, span: f64) {
+        let longest = delay_s.end;
+        self.state().repeated_commands = RepeatedCommands {
+            share,
+            delay: secs(delay_s.start)..secs(delay_s.end),
+            until: self.now() + secs(span),
+        };
+        self.note_fault(span + longest);
+    }
 }
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod observations;
 pub mod older_version;
 mod pending_call;
+pub mod repeated_commands;
 pub mod run;
 pub mod scheduler;
 pub mod setup;
--- a/crates/simulation/src/simulation.rs
+++ b/crates/simulation/src/simulation.rs
@@ -5,6 +5,7 @@
 use crate::delayed_commands::DelayedCommands;
 use crate::directions::Cuts;
 use crate::fake_store::FakeStore;
+use crate::repeated_commands::RepeatedCommands;
 use crate::scheduler::{DeterministicScheduler, Time, lock, secs};
 use crate::setup::{CANCEL_S, Setup};
 use crate::state::{NodeState, SimulationState};
@@ -39,6 +40,7 @@
                 duplicated_heartbeats: None,
                 heartbeats_for_next_leader: Vec::new(),
                 delayed_commands: DelayedCommands::default(),
+                repeated_commands: RepeatedCommands::default(),
                 nodes: (0..setup.nodes).map(|_| NodeState::default()).collect(),
                 zone_cuts: BTreeMap::new(),
                 cuts: Cuts::default(),
--- a/crates/simulation/src/state.rs
+++ b/crates/simulation/src/state.rs
@@ -6,6 +6,7 @@
 use crate::directions::{Cuts, Endpoint};
 use crate::fake_store::FakeStore;
 use crate::machine::Machine;
+use crate::repeated_commands::RepeatedCommands;
 use crate::scheduler::Time;
 use crate::transcript::Transcript;
 use crate::user_job::UserJob;
@@ -77,6 +78,8 @@
     pub heartbeats_for_next_leader: Vec<Heartbeat>,
     /// Fault in which direct commands are delayed.
     pub(crate) delayed_commands: DelayedCommands,
+    /// Fault in which direct commands are repeated.
+    pub(crate) repeated_commands: RepeatedCommands,
     /// Controllers, by number.
     pub nodes: Vec<NodeState>,
     /// Zones that are cut off from all others, with the end of each cut.
--- a/crates/simulation/src/worker_commands.rs
+++ b/crates/simulation/src/worker_commands.rs
@@ -80,8 +80,23 @@
         Some(*last)
     }
 
+    /// Decides whether a direct command that is sent now is repeated; if so, returns the arrival time of the copy.
+    fn command_repeated_at(&self) -> Option<Time> {
+        let now = self.now();
+        let mut state = self.state();
+        if state.repeated_commands.until <= now {
+            return None;
+        }
+        let share = state.repeated_commands.share;
+        if state.rng.f64() >= share {
+            return None;
+        }
+        let delay = state.repeated_commands.delay.clone();
+        Some(now + state.rng.u64(delay))
+    }
+
     /// Delivers direct commands now, or after a delay if the fault of delayed commands affects them. The answer to
-    /// delayed commands is lost.
+    /// delayed commands is lost. Commands that the fault of repeated commands affects arrive once more later.
     pub fn commands_sent(
         self: &Arc<Self>,
         node: usize,
@@ -93,7 +108,15 @@
             Some(delivered_at) => self.at_time(delivered_at, move |sim| {
                 sim.commands_arrive(node, worker, body, |_, _| {});
             }),
-            None => self.commands_arrive(node, worker, body, then),
+            None => {
+                if let Some(repeated_at) = self.command_repeated_at() {
+                    let copy = body.clone();
+                    self.at_time(repeated_at, move |sim| {
+                        sim.commands_arrive(node, worker, copy, |_, _| {});
+                    });
+                }
+                self.commands_arrive(node, worker, body, then);
+            }
         }
     }
 
--- a/crates/simulation/src/worker_tasks.rs
+++ b/crates/simulation/src/worker_tasks.rs
@@ -32,6 +32,19 @@
     }
 }
 
+/// Ends an attempt.
+fn exit(task: &mut SimulatedTask, reason: ExitReason) {
+    task.status = TaskStatus::Exited;
+    task.exit_reason = Some(reason);
+}
+
+/// Postpones the rest of an attempt's phase to the end of a freeze, and returns the new end of the phase.
+fn postpone_phase(task: &mut SimulatedTask, frozen_since: Time, frozen_until: Time) -> Time {
+    let remaining = task.phase_ends_at.saturating_sub(frozen_since);
+    task.phase_ends_at = frozen_until + remaining;
+    task.phase_ends_at
+}
+
 impl Simulation {
     /// Executes commands in their order. If a task changes, a heartbeat is scheduled to report it.
     pub(crate) fn execute(self: &Arc<Self>, name: &str, commands: &[WorkerCommand]) {
@@ -129,8 +142,7 @@
             return true;
         }
         let was_active = is_active(task);
-        task.status = TaskStatus::Exited;
-        task.exit_reason = Some(ExitReason::Stopped);
+        exit(task, ExitReason::Stopped);
         if was_active {
             let (id, number) = split_task_id(&command.task_id);
             checker.task_stopped(id, number, name, false);
@@ -179,15 +191,18 @@
             return;
         };
         if frozen_until > now {
-            // The rest of the phase takes place after the freeze.
-            let remaining = task.phase_ends_at.saturating_sub(frozen_since);
-            task.phase_ends_at = frozen_until + remaining;
-            let at = task.phase_ends_at;
+            let at = postpone_phase(task, frozen_since, frozen_until);
             drop(state);
             return self.advance_task_at(at, name, key.clone(), timer);
         }
         let (id, number) = split_task_id(&key.0);
         match task.status {
+            TaskStatus::Fetching if checker.is_done(id, number) => {
+                // The worker has kept the result, so the task doesn't run again.
+                exit(task, ExitReason::Done);
+                machine.images.insert(IMAGE.into());
+                drop(state);
+            }
             TaskStatus::Fetching => {
                 task.status = TaskStatus::Running;
                 task.phase_ends_at = now
@@ -199,8 +214,7 @@
                 self.advance_task_at(at, name, key.clone(), timer);
             }
             TaskStatus::Running => {
-                task.status = TaskStatus::Exited;
-                task.exit_reason = Some(ExitReason::Done);
+                exit(task, ExitReason::Done);
                 let is_done = plan.is_none_or(|p| !p.standing);
                 checker.task_stopped(id, number, name, is_done);
                 let id = id.to_string();
@@ -208,8 +222,7 @@
                 self.after_task_done(&id);
             }
             TaskStatus::Flushing => {
-                task.status = TaskStatus::Exited;
-                task.exit_reason = Some(ExitReason::Stopped);
+                exit(task, ExitReason::Stopped);
                 checker.task_stopped(id, number, name, false);
                 drop(state);
             }
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -217,6 +217,16 @@
         self.done.is_full()
     }
 
+    /// True if a worker that starts this task once more does no harm: the task is recorded as done, so that the worker
+    /// only reports the result that it has kept, and no user expects that nothing of the job starts.
+    pub fn is_restart_harmless(&self, task: u32) -> bool {
+        match self.outcome {
+            Some(Outcome::Done) => true,
+            Some(Outcome::Cancelled) => false,
+            None => !self.is_cancel_requested() && self.recorded.contains(task),
+        }
+    }
+
     /// Moment by which the job should be complete, if it has a deadline.
     pub fn deadline(&self) -> Option<Moment> {
         self.spec.deadline.map(|time| self.accepted_at + time)
--- a/src/jobs/retirement.rs
+++ b/src/jobs/retirement.rs
@@ -41,13 +41,19 @@
     /// True if no attempt of the job can be on any machine or still arrive there.
     pub(super) fn is_retirable(&self, id: JobId, job: &Job) -> bool {
         // A machine that is not reconciled may still run tasks of the job, which count against the team's quota.
-        job.unreconciled_below == 0 && !job.is_bound() && !self.has_undelivered_start(id)
+        job.unreconciled_below == 0 && !job.is_bound() && !self.has_executable_start(id, job)
     }
 
-    /// True while a start command without an answer may still arrive. Its attempt must not be cleared, so the job
-    /// must stay in memory.
-    fn has_undelivered_start(&self, id: JobId) -> bool {
-        self.has_attempt(id, DeliveryStatus::may_arrive)
+    /// True while a start command may start a task of the job. Its attempt must not be cleared, so the job must stay
+    /// in memory. Copies of the commands of a job that is done are harmless: the workers have kept its results.
+    fn has_executable_start(&self, id: JobId, job: &Job) -> bool {
+        let is_done = job
+            .outcome
+            .map_or(job.is_complete(), |outcome| outcome == Outcome::Done);
+        match is_done {
+            true => self.has_attempt(id, DeliveryStatus::may_arrive),
+            false => self.has_attempt(id, DeliveryStatus::is_executable),
+        }
     }
 
     /// True while a call that carries a start command of the job is in flight.
@@ -69,7 +75,7 @@
             return;
         };
         let name = &job.spec.id;
-        if self.has_undelivered_start(id) {
+        if self.has_executable_start(id, job) {
             invariants::report_violation(
                 Invariant::ReleasedWithoutProof,
                 format_args!("job={name} reason=retired"),
--- a/src/scheduler/status.rs
+++ b/src/scheduler/status.rs
@@ -60,13 +60,15 @@
         let counters = &self.fencing.counters;
         format!(
             "commands: direct_calls={} unconfirmed_starts={} ended_by_fencing_token={} ended_by_agent_epoch={} \
-             unconfirmed_machines={} fencing_tokens_raised={} heartbeats_withheld={} invariants_violated={}",
+             unconfirmed_machines={} fencing_tokens_raised={} blocked_clears={} heartbeats_withheld={} \
+             invariants_violated={}",
             counters.calls,
             counters.unconfirmed_starts,
             counters.ended_by_token,
             counters.ended_by_epoch,
             self.fencing.unconfirmed_machine_count(),
             counters.raises,
+            self.fencing.blocked_clear_count(),
             counters.withheld,
             violation_count()
         )
--- a/src/workers/attempt.rs
+++ b/src/workers/attempt.rs
@@ -22,6 +22,11 @@
 }
 
 impl AttemptKey {
+    /// Term of the leader that decided on the attempt.
+    pub(super) fn term(self) -> u64 {
+        self.attempt >> 32
+    }
+
     /// Range of all possible keys of a job's attempts.
     pub fn range_of_job(job: JobId) -> RangeInclusive<AttemptKey> {
         let first = AttemptKey {
@@ -90,8 +95,11 @@
 
     /// Creates an attempt that was first seen in a report: an earlier leader started it, or its start command was
     /// considered lost. `bound` is false if the attempt has exited.
-    pub(super) fn discovered(bound: bool, now: Moment) -> Attempt {
-        Attempt::new(bound, now)
+    pub(super) fn discovered(bound: bool, delivery: DeliveryStatus, now: Moment) -> Attempt {
+        Attempt {
+            delivery,
+            ..Attempt::new(bound, now)
+        }
     }
 
     fn new(bound: bool, now: Moment) -> Attempt {
--- a/src/workers/command_log.rs
+++ b/src/workers/command_log.rs
@@ -102,6 +102,17 @@
     );
 }
 
+/// Logs that an exited attempt can't be cleared yet, because its start command with this token is still executable.
+pub(super) fn log_blocked_clear(machine: &str, key: AttemptKey, fencing_token: FencingToken) {
+    log::debug!(
+        machine = machine,
+        task = key.task,
+        attempt = key.attempt,
+        fencing_token = fencing_token;
+        "clear waits for a higher fencing token"
+    );
+}
+
 /// Logs the release of an attempt. `age` is the time since its placement.
 pub(super) fn log_release(machine: &str, key: AttemptKey, reason: ReleaseReason, age: Micros) {
     log::debug!(
--- a/src/workers/direct_results.rs
+++ b/src/workers/direct_results.rs
@@ -100,17 +100,14 @@
 ) -> DeliveryStatus {
     machine.call_in_flight = false;
     let delivery = match result {
-        DirectResult::OutcomeUnknown => {
-            let start = UnconfirmedStart {
-                fencing_token: call.fencing_token,
-                since: call.began_at,
-            };
-            DeliveryStatus::unanswered(start, machine.seen_fencing_token)
-        }
-        DirectResult::Answered(_) | DirectResult::NotSent | DirectResult::Unreachable => {
-            DeliveryStatus::Settled
-        }
+        DirectResult::OutcomeUnknown => DeliveryStatus::Unconfirmed(UnconfirmedStart {
+            fencing_token: call.fencing_token,
+            since: call.began_at,
+        }),
+        DirectResult::Answered(_) => DeliveryStatus::Answered(call.fencing_token),
+        DirectResult::NotSent | DirectResult::Unreachable => DeliveryStatus::Settled,
     };
+    let delivery = delivery.after_call(machine.seen_fencing_token);
     for key in &call.starts {
         if let Some(attempt) = machine.attempts.get_mut(key) {
             attempt.delivery = delivery;
--- a/src/workers/fencing.rs
+++ b/src/workers/fencing.rs
@@ -6,6 +6,10 @@
 //! receives a reply, and thus the token, and refuses the unconfirmed start; or it receives no reply, and its
 //! agent epoch ends with its lease. Until then its tasks keep running, and no other machine is affected.
 //!
+//! An attempt whose start was answered is cleared in a reply with a higher token than the start's, so that the worker
+//! refuses copies of the command that the network delivers later ([`super::delivery_status`]). Such clears aren't urgent:
+//! the attempt has exited, and its task may already run elsewhere.
+//!
 //! # Cancellations
 //!
 //! A confirmed cancellation must be complete within `cancel_s`. As long as the higher token isn't stored, for
@@ -22,8 +26,12 @@
 /// Minimum time between two raises of the token. Each raise costs a write; all machines that get unconfirmed
 /// starts within the interval share the next token.
 const RAISE_INTERVAL: Micros = Micros::from_secs(1);
+/// Minimum time between two raises if only clears of exited attempts wait for the token.
+const CLEAR_RAISE_INTERVAL: Micros = Micros::from_secs(5);
 /// Time until a failed raise is retried.
 const RETRY_INTERVAL: Micros = Micros::from_millis(500);
+/// Time until a failed raise is retried if only clears wait for the token.
+const CLEAR_RETRY_INTERVAL: Micros = Micros::from_secs(1);
 
 /// Counters for direct calls and unconfirmed starts, from the beginning of this leader's term.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -42,6 +50,25 @@
     pub withheld: u64,
 }
 
+/// Reason why some machines need a higher token than the newest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RaiseReason {
+    /// Unconfirmed starts must be revoked.
+    UnconfirmedStart,
+    /// Exited attempts must be cleared.
+    Clear,
+}
+
+impl RaiseReason {
+    /// The value of the log field `reason`.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            RaiseReason::UnconfirmedStart => "unconfirmed_start",
+            RaiseReason::Clear => "clear",
+        }
+    }
+}
+
 /// The fencing tokens that this leader issues, and the machines that need a higher one.
 #[derive(Debug)]
 pub struct Fencing {
@@ -49,8 +76,13 @@
     newest: FencingToken,
     /// Machines with unconfirmed starts, each with the highest token among these start commands.
     unconfirmed_machines: BTreeMap<String, FencingToken>,
-    /// Earliest time of the next raise.
+    /// Machines with exited attempts whose start commands are still executable, each with the highest token among these
+    /// start commands. The attempts are cleared once the machine's token is above it.
+    blocked_clears: BTreeMap<String, FencingToken>,
+    /// Earliest time of the next raise for unconfirmed starts.
     next_raise_at: Moment,
+    /// Earliest time of the next raise for clears alone.
+    next_clear_raise_at: Moment,
     /// Counters since the beginning of this leader's term.
     pub counters: CommandCounters,
 }
@@ -61,7 +93,9 @@
         Fencing {
             newest: FencingToken::of_term(term),
             unconfirmed_machines: BTreeMap::new(),
+            blocked_clears: BTreeMap::new(),
             next_raise_at: Moment(0),
+            next_clear_raise_at: Moment(0),
             counters: CommandCounters::default(),
         }
     }
@@ -76,6 +110,11 @@
         self.unconfirmed_machines.len()
     }
 
+    /// Number of machines with exited attempts that wait for a higher token.
+    pub fn blocked_clear_count(&self) -> usize {
+        self.blocked_clears.len()
+    }
+
     /// Machines with unconfirmed starts, each with the highest token among these start commands.
     pub(super) fn unconfirmed_machines(&self) -> impl Iterator<Item = (&String, FencingToken)> {
         self.unconfirmed_machines
@@ -90,32 +129,70 @@
 
     /// Adds an unconfirmed start on this machine whose command carries this token.
     pub(super) fn note_unconfirmed(&mut self, machine: &str, fencing_token: FencingToken) {
-        let highest = self
-            .unconfirmed_machines
-            .entry(machine.to_string())
-            .or_insert(fencing_token);
-        *highest = fencing_token.max(*highest);
+        insert_highest(&mut self.unconfirmed_machines, machine, fencing_token);
     }
 
     /// Removes a machine that has no more unconfirmed starts.
+    pub(super) fn note_confirmed(&mut self, machine: &str) {
+        self.unconfirmed_machines.remove(machine);
+    }
+
+    /// Adds an exited attempt on this machine that must not be cleared in a reply with this token or a lower one.
+    pub(super) fn note_blocked_clear(&mut self, machine: &str, fencing_token: FencingToken) {
+        insert_highest(&mut self.blocked_clears, machine, fencing_token);
+    }
+
+    /// Removes and returns the machines whose clears the newest token allows.
+    pub(super) fn take_unblocked_clears(&mut self) -> Vec<String> {
+        let newest = self.newest;
+        let is_unblocked = |fencing_token: &FencingToken| newest > *fencing_token;
+        let tokens = self.blocked_clears.iter();
+        let unblocked = tokens.filter(|(_, fencing_token)| is_unblocked(fencing_token));
+        let names = unblocked.map(|(name, _)| name.clone()).collect();
+        self.blocked_clears
+            .retain(|_, fencing_token| !is_unblocked(fencing_token));
+        names
+    }
+
+    /// Removes a machine whose agent epoch has ended.
     pub(super) fn remove_machine(&mut self, machine: &str) {
         self.unconfirmed_machines.remove(machine);
+        self.blocked_clears.remove(machine);
     }
 
-    /// True if the interval between two raises allows a raise now.
-    pub(super) fn may_raise(&self, now: Moment) -> bool {
-        now >= self.next_raise_at
+    /// True if the interval between two raises allows a raise for this reason now.
+    pub(super) fn may_raise(&self, reason: RaiseReason, now: Moment) -> bool {
+        match reason {
+            RaiseReason::UnconfirmedStart => now >= self.next_raise_at,
+            RaiseReason::Clear => now >= self.next_clear_raise_at,
+        }
     }
 
     /// Applies a successful raise: this token is stored for this leader only.
     pub(super) fn raised(&mut self, fencing_token: FencingToken, now: Moment) {
         self.newest = self.newest.max(fencing_token);
         self.next_raise_at = now + RAISE_INTERVAL;
+        self.next_clear_raise_at = now + CLEAR_RAISE_INTERVAL;
         self.counters.raises += 1;
     }
 
     /// Schedules a retry after a raise was refused or got no answer.
     pub(super) fn raise_failed(&mut self, now: Moment) {
         self.next_raise_at = now + RETRY_INTERVAL;
+        self.next_clear_raise_at = now + CLEAR_RETRY_INTERVAL;
+    }
+}
+
+/// Inserts the token for this machine, unless a higher one is already there.
+fn insert_highest(
+    tokens: &mut BTreeMap<String, FencingToken>,
+    machine: &str,
+    fencing_token: FencingToken,
+) {
+    match tokens.get_mut(machine) {
+        Some(highest) => *highest = fencing_token.max(*highest),
+        None => {
+            tokens.insert(machine.to_string(), fencing_token);
+        }
     }
 }
--- a/src/workers/heartbeat_commands.rs
+++ b/src/workers/heartbeat_commands.rs
@@ -1,8 +1,12 @@
 //! Commands in the reply to a heartbeat, derived from the difference between the desired state of a machine and
 //! the state that its worker reports.
 
+use super::command_log::log_blocked_clear;
 use super::wire::{CommandKind, TaskStatus, WorkerCommand};
-use super::{Attempt, AttemptKey, DesiredState, HeartbeatPosition, Machine, Orphan};
+use super::{
+    Attempt, AttemptKey, DeliveryStatus, DesiredState, FencingToken, HeartbeatPosition, Machine,
+    Orphan,
+};
 use crate::jobs::Job;
 use crate::scheduler::SchedulerState;
 use crate::time::{Micros, Moment};
@@ -17,6 +21,8 @@
 struct ReplyContext {
     /// Position of the heartbeat that is being answered, or of a newer answer to a direct call.
     position: HeartbeatPosition,
+    /// Fencing token that the reply carries.
+    fencing_token: FencingToken,
     /// Whether exited attempts may be cleared.
     may_release: bool,
     /// Whether the machine is quarantined: replies may not reach it, so they carry no start commands.
@@ -36,17 +42,20 @@
     Start(WorkerCommand),
     /// Remove the attempt: its start command was never sent, and it should no longer run on this machine.
     Drop,
+    /// Clear the attempt later, in a reply with a fencing token above this one.
+    AwaitTokenAbove(FencingToken),
 }
 
 impl SchedulerState {
     /// Builds the commands in the reply to a heartbeat of this machine. Start commands come last.
     pub(super) fn heartbeat_commands(&mut self, name: &str, now: Moment) -> Vec<WorkerCommand> {
         let may_release = self.permissions().release;
+        let fencing_token = self.fencing_token_for(name);
         let Some(machine) = self.machines.get_mut(name) else {
             return Vec::new();
         };
         machine.free_resources.set(None);
-        let context = ReplyContext::new(machine, may_release, now);
+        let context = ReplyContext::new(machine, fencing_token, may_release, now);
         let mut commands = orphan_commands(&machine.orphans, may_release);
         let mut starts = Vec::new();
         let mut dropped = Vec::new();
@@ -59,6 +68,10 @@
                 NextStep::Send(command) => commands.push(command),
                 NextStep::Start(command) => starts.push(command),
                 NextStep::Drop => dropped.push(*key),
+                NextStep::AwaitTokenAbove(token) => {
+                    log_blocked_clear(name, *key, token);
+                    self.fencing.note_blocked_clear(name, token);
+                }
             }
         }
         if !dropped.is_empty() {
@@ -108,9 +121,15 @@
 }
 
 impl ReplyContext {
-    fn new(machine: &Machine, may_release: bool, now: Moment) -> ReplyContext {
+    fn new(
+        machine: &Machine,
+        fencing_token: FencingToken,
+        may_release: bool,
+        now: Moment,
+    ) -> ReplyContext {
         ReplyContext {
             position: machine.reconciled_position,
+            fencing_token,
             may_release,
             is_quarantined: machine.quarantine.is_some(),
             is_registered: machine.registered,
@@ -135,17 +154,23 @@
     }
 
     /// Clears an exited attempt once its outcome is stored: until then the worker holds the second copy of the
-    /// outcome. An attempt isn't cleared while a start command for it may still arrive, since that command would
-    /// start it again.
+    /// outcome. An attempt isn't cleared while a start command for it may still arrive, or arrive once more, since that
+    /// command would start it again.
     fn clear(&self, job: &Job, key: AttemptKey, attempt: &Attempt) -> NextStep {
         if attempt.delivery.may_arrive() || !self.may_release {
             return NextStep::Nothing;
         }
         let is_recorded = !attempt.done || job.recorded.contains(key.task);
-        if is_recorded || job.outcome.is_some() {
-            return NextStep::Send(attempt.command(&job.spec.id, key, CommandKind::Clear));
+        if !is_recorded && job.outcome.is_none() {
+            return NextStep::Nothing;
+        }
+        if let DeliveryStatus::Answered(start_token) = attempt.delivery
+            && !attempt.delivery.may_clear(self.fencing_token)
+            && !job.is_restart_harmless(key.task)
+        {
+            return NextStep::AwaitTokenAbove(start_token);
         }
-        NextStep::Nothing
+        NextStep::Send(attempt.command(&job.spec.id, key, CommandKind::Clear))
     }
 
     /// Kills an attempt that is still saving its checkpoint after its grace period and a margin, or at once if the
--- a/src/workers/reconciliation.rs
+++ b/src/workers/reconciliation.rs
@@ -29,7 +29,7 @@
         machine.update_from_report(report, total, now);
         let is_reconciled_now = machine.note_seen_fencing_token(report.fencing_token, self.term);
         self.placement.due |= is_reconciled_now;
-        self.settle_unconfirmed(&report.machine, now);
+        self.settle_starts(&report.machine, now);
         self.reconcile_tasks(report, source, now);
         self.drain_preempted(&report.machine, now);
     }
--- a/src/workers/reported_tasks.rs
+++ b/src/workers/reported_tasks.rs
@@ -3,7 +3,7 @@
 use super::attempt::MIN_COUNTED_RUN;
 use super::exits::{Exit, apply_exit};
 use super::wire::{ExitReason, Heartbeat, ReportedTask, TaskStatus};
-use super::{Attempt, AttemptKey, DesiredState};
+use super::{Attempt, AttemptKey, DeliveryStatus, DesiredState, FencingToken};
 use crate::invariants::{self, Invariant};
 use crate::jobs::Job;
 use crate::scheduler::SchedulerState;
@@ -26,7 +26,8 @@
             return;
         };
         let known = machine.attempts.get(&key).cloned();
-        let mut attempt = known.unwrap_or_else(|| discover_attempt(job, key, task, now));
+        let start = possible_start(key, self.term, self.fencing.newest());
+        let mut attempt = known.unwrap_or_else(|| discover_attempt(job, key, task, start, now));
         let was_running = attempt.is_running();
         let previous = attempt.status.replace(task.status);
         job.count_running(was_running, attempt.is_running());
@@ -65,12 +66,28 @@
 
 /// Creates the state of a reported attempt that is unknown to this leader: an earlier leader started it, or its start
 /// command was considered lost.
-fn discover_attempt(job: &mut Job, key: AttemptKey, task: &ReportedTask, now: Moment) -> Attempt {
+fn discover_attempt(
+    job: &mut Job,
+    key: AttemptKey,
+    task: &ReportedTask,
+    delivery: DeliveryStatus,
+    now: Moment,
+) -> Attempt {
     let bound = task.status != TaskStatus::Exited;
     if bound {
         job.bind(key.task);
     }
-    Attempt::discovered(bound, now)
+    Attempt::discovered(bound, delivery, now)
+}
+
+/// Delivery status of the start command of an attempt that this leader doesn't know. If the attempt is of this
+/// leader's term, the command may have been sent in a direct call with any of its tokens so far.
+fn possible_start(key: AttemptKey, term: u64, newest: FencingToken) -> DeliveryStatus {
+    match key.term() == term {
+        true => DeliveryStatus::Answered(newest),
+        // Replies carry this leader's tokens, which are above those of earlier leaders.
+        false => DeliveryStatus::Settled,
+    }
 }
 
 /// Checks that an attempt that is reported for the first time doesn't belong to a job whose cancellation must be
--- a/src/workers/revocation.rs
+++ b/src/workers/revocation.rs
@@ -1,7 +1,8 @@
-//! Revocation of unconfirmed starts: the machine gets a higher fencing token, or its heartbeats are no longer
-//! answered. [`super::fencing`] describes the mechanism.
+//! Revocation of start commands that may still be executed: the machine gets a higher fencing token, or its heartbeats
+//! are no longer answered. [`super::fencing`] describes the mechanism.
 
 use super::command_log::Seconds;
+use super::fencing::RaiseReason;
 use super::{DeliveryStatus, FencingToken};
 use crate::invariants::{self, Invariant};
 use crate::scheduler::{LEASE_MARGIN, SchedulerState};
@@ -19,9 +20,22 @@
         })
     }
 
+    /// Assigns the newest token to the machines whose unconfirmed starts it revokes or whose exited attempts it allows
+    /// to be cleared. Returns the most urgent reason why some machines need a higher token than the newest, if any.
+    pub(super) fn fence_machines(&mut self) -> Option<RaiseReason> {
+        let is_unconfirmed = self.fence_unconfirmed();
+        self.fence_blocked_clears();
+        if is_unconfirmed {
+            Some(RaiseReason::UnconfirmedStart)
+        } else {
+            let is_blocked = self.fencing.blocked_clear_count() > 0;
+            is_blocked.then_some(RaiseReason::Clear)
+        }
+    }
+
     /// Assigns the newest token to the machines whose unconfirmed starts it revokes. Returns true if some machines
     /// need a higher token than the newest.
-    pub fn fence_unconfirmed(&mut self) -> bool {
+    fn fence_unconfirmed(&mut self) -> bool {
         let newest = self.fencing.newest();
         let mut needs_higher = false;
         for (name, unconfirmed) in self.fencing.unconfirmed_machines() {
@@ -34,18 +48,31 @@
         needs_higher
     }
 
+    /// Assigns the newest token to the machines whose exited attempts it allows to be cleared.
+    fn fence_blocked_clears(&mut self) {
+        let newest = self.fencing.newest();
+        for name in self.fencing.take_unblocked_clears() {
+            if let Some(machine) = self.machines.get_mut(&name) {
+                machine.fencing_token = newest;
+            }
+        }
+    }
+
     /// True if the fencing token must be raised, and the interval between two raises allows it now.
     pub fn fencing_token_raise_due(&mut self, now: Moment) -> bool {
-        self.fence_unconfirmed() && self.fencing.may_raise(now)
+        let reason = self.fence_machines();
+        reason.is_some_and(|reason| self.fencing.may_raise(reason, now))
     }
 
     /// Applies a raise of the fencing token: the higher token is stored for this leader only.
     pub fn fencing_token_raised(&mut self, fencing_token: FencingToken, now: Moment) {
+        let reason = self.fence_machines().map_or("none", RaiseReason::name);
         self.fencing.raised(fencing_token, now);
-        self.fence_unconfirmed();
+        self.fence_machines();
         log::debug!(
             term = self.term,
             fencing_token = fencing_token,
+            reason = reason,
             unconfirmed_machines = self.fencing.unconfirmed_machine_count();
             "fencing token raised"
         );
@@ -56,23 +83,22 @@
         self.fencing.raise_failed(now);
     }
 
-    /// Settles the unconfirmed starts on the machine that its worker will refuse. Called after a report has shown
-    /// the highest fencing token that the worker has seen.
-    pub(super) fn settle_unconfirmed(&mut self, name: &str, now: Moment) {
+    /// Settles the starts on the machine that its worker will refuse. Called after a report has shown the highest
+    /// fencing token that the worker has seen.
+    pub(super) fn settle_starts(&mut self, name: &str, now: Moment) {
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
         let seen = machine.seen_fencing_token;
         let mut any_unconfirmed_left = false;
         for (key, attempt) in &mut machine.attempts {
-            let Some(start) = attempt.delivery.unconfirmed() else {
-                continue;
-            };
+            let unconfirmed = attempt.delivery.unconfirmed();
             if !attempt.delivery.settled_by(seen) {
-                any_unconfirmed_left = true;
+                any_unconfirmed_left |= unconfirmed.is_some();
                 continue;
             }
             attempt.delivery = DeliveryStatus::Settled;
+            let Some(start) = unconfirmed else { continue };
             self.fencing.counters.ended_by_token += 1;
             log::debug!(
                 machine = name,
@@ -85,7 +111,7 @@
             );
         }
         if !any_unconfirmed_left {
-            self.fencing.remove_machine(name);
+            self.fencing.note_confirmed(name);
         }
     }
 
--- a/tests/model/main.rs
+++ b/tests/model/main.rs
@@ -9,6 +9,7 @@
 mod fault_combinations;
 mod large;
 mod links;
+mod repeated_commands;
 mod standing_jobs;
 mod upgrades;
 
--- a/tests/traces/fencing.rs
+++ b/tests/traces/fencing.rs
@@ -216,3 +216,83 @@
 fn whole_machine_cpus() -> aspenreel::http::cbor::Number {
     crate::trace::decimal(32.0)
 }
+
+/// Returns the report of the machine in the answer to a direct call that started this attempt.
+fn started(tasks: &'static [&'static str]) -> impl FnOnce(&mut LeaderTrace) -> DirectResult {
+    move |trace| {
+        let token = trace.scheduler.fencing_token_for("big-east-1").0;
+        DirectResult::Answered(trace.next_heartbeat("big-east-1", token, 1, tasks))
+    }
+}
+
+/// Guards against a task that runs twice: its first attempt was started by a direct call, was answered and failed. The
+/// attempt is cleared only in a reply with a higher fencing token than the start's, since the network may deliver a copy
+/// of the start at any time after the `clear`.
+#[test]
+fn answered_start_is_revoked_before_its_failed_attempt_is_cleared() {
+    let mut trace = LeaderTrace::new(2, vec![team("a", 64.0, 64.0)]);
+    trace.raises_tokens = false;
+    trace.heartbeat("big-east-1", &[]);
+    trace.at(0.5).job(submission("run-1", |s| s.tasks = 1));
+    trace
+        .on_timer(1.0)
+        .direct_call(started(&["run-1/0#2.1 running"]));
+    // The store accepts no higher token at first. The task starts again meanwhile.
+    for second in [3.0, 6.0] {
+        trace
+            .at(second)
+            .heartbeat("big-east-1", &["run-1/0#2.1 error"]);
+    }
+    trace.raises_tokens = true;
+    let failed_and_running = ["run-1/0#2.1 error", "run-1/0#2.2 running"];
+    trace.at(9.0).heartbeat("big-east-1", &failed_and_running);
+    trace.at(12.0).heartbeat("big-east-1", &failed_and_running);
+    trace
+        .at(15.0)
+        .heartbeat("big-east-1", &["run-1/0#2.2 running"])
+        .bound();
+    // The second attempt was started in a reply, which the worker drops if it is late: it is cleared at once, as is
+    // an attempt whose task is recorded as done, since the worker keeps the result.
+    trace
+        .at(60.0)
+        .heartbeat("big-east-1", &["run-1/0#2.2 done"])
+        .write_round(true);
+    assert_snapshot!(trace.log);
+}
+
+/// Guards against a cancelled task that starts again: its job is not retired before copies of its start are refused,
+/// because attempts of unknown jobs are cleared at once.
+#[test]
+fn cancelled_job_is_not_retired_before_its_answered_start_is_revoked() {
+    let mut trace = LeaderTrace::new(2, vec![team("a", 64.0, 64.0)]);
+    trace.raises_tokens = false;
+    trace.heartbeat("big-east-1", &[]);
+    trace.at(0.5).job(submission("run-1", |s| s.tasks = 2));
+    trace
+        .on_timer(1.0)
+        .direct_call(started(&["run-1/0#2.1 running", "run-1/1#2.2 done"]));
+    trace.write_round(true);
+    trace.at(2.0);
+    trace.scheduler.request_cancellation("run-1", trace.now);
+    let ended = ["run-1/0#2.1 stopped", "run-1/1#2.2 done"];
+    trace
+        .at(3.0)
+        .heartbeat("big-east-1", &ended)
+        .write_round(true);
+    trace
+        .at(6.0)
+        .heartbeat("big-east-1", &ended)
+        .write_round(true)
+        .view("run-1");
+    trace.raises_tokens = true;
+    trace.at(9.0).heartbeat("big-east-1", &ended);
+    trace
+        .at(12.0)
+        .heartbeat("big-east-1", &ended)
+        .write_round(true);
+    trace
+        .at(15.0)
+        .heartbeat("big-east-1", &[])
+        .write_round(true);
+    assert_snapshot!(trace.log);
+}
