Failures of mistaken jobs no longer exclude sound machines for good

Cause: a machine counted as faulty for good once tasks of two jobs had failed on it, unless the job at hand had already failed on three machines. The first failures of several mistaken jobs condemned one machine after the other.

Change: the evidence against a machine is kept by job (workers/task_failures). It is withdrawn when the job has failed on three machines or its cancellation is requested, and cleared by a completed task.

--- a/src/jobs/completion.rs
+++ b/src/jobs/completion.rs
@@ -75,6 +75,7 @@
             self.writes_due = true;
             if first {
                 self.stop_attempts_of(job_id);
+                self.withdraw_failures_of_faulty_job(job_id);
             }
         }
         true
--- a/src/placement/machine_capacity.rs
+++ b/src/placement/machine_capacity.rs
@@ -15,7 +15,7 @@
             && machine.quarantine.is_none()
             && !machine.unreachable
             && !machine.draining
-            && !machine.faulty
+            && !machine.failures.is_machine_faulty()
             && !machine.has_preemption_notice
             && machine.is_alive(self.config.heartbeat_interval, now)
     }
--- a/src/provisioning/headroom.rs
+++ b/src/provisioning/headroom.rs
@@ -25,7 +25,10 @@
     /// True if the machine may run tasks now or once it is up: it is reachable, not faulty, and isn't about to be
     /// returned or taken back.
     pub(super) fn is_serviceable(&self) -> bool {
-        !self.draining && !self.faulty && !self.has_preemption_notice && !self.unreachable
+        !self.draining
+            && !self.failures.is_machine_faulty()
+            && !self.has_preemption_notice
+            && !self.unreachable
     }
 }
 
--- a/src/provisioning/scale_in.rs
+++ b/src/provisioning/scale_in.rs
@@ -122,7 +122,7 @@
         if machine.is_busy() {
             return None;
         }
-        if machine.faulty {
+        if machine.failures.is_machine_faulty() {
             return Some(ReturnReason::Faulty);
         }
         // Such a machine is charged until it ends, and only its return proves that it is empty.
--- a/src/workers/exits.rs
+++ b/src/workers/exits.rs
@@ -3,14 +3,12 @@
 use super::attempt::MIN_COUNTED_RUN;
 use super::wire::ExitReason;
 use super::{Attempt, AttemptKey, Machine};
-use crate::jobs::Job;
+use crate::jobs::{Job, JobId};
+use crate::scheduler::SchedulerState;
 use crate::time::{Micros, Moment};
 
 /// Number of machines on which a job must have failed for its errors to be attributed to the job, not the machines.
 const MIN_MACHINES_OF_FAULTY_JOB: usize = 3;
-/// Number of jobs of which tasks must have failed on a machine, without a completed task in between, for the machine
-/// to be considered faulty.
-const MIN_JOBS_OF_FAULTY_MACHINE: usize = 2;
 
 /// Exit of an attempt, in the first report that shows it.
 pub(super) struct Exit {
@@ -26,6 +24,8 @@
     pub completes_job: bool,
     /// Run time of the attempt, if its task completed.
     pub run_time: Option<Micros>,
+    /// True if the task failed.
+    pub failed: bool,
 }
 
 /// Applies an exit, and frees the attempt's resources. The first attempt of a task that completes determines the
@@ -41,7 +41,10 @@
     let effect = if job.spec.is_standing() {
         let lasted = running_since.is_some_and(|since| exit.at - since > MIN_COUNTED_RUN);
         apply_replica_exit(exit, lasted, job, machine);
-        ExitEffect::default()
+        ExitEffect {
+            failed: exit.exit_reason == ExitReason::Error,
+            ..ExitEffect::default()
+        }
     } else {
         apply_task_exit(exit, running_since, job, machine)
     };
@@ -72,27 +75,54 @@
         ExitReason::Done => {
             let is_first = job.mark_done(exit.key.task);
             job.failed_on.clear();
-            machine.error_streak.clear();
+            machine.failures.clear();
             ExitEffect {
                 completes_job: is_first && job.is_complete(),
                 run_time: running_since.map(|since| exit.at - since),
+                failed: false,
             }
         }
         ExitReason::Error => {
             note_error(exit, job, machine);
-            ExitEffect::default()
+            ExitEffect {
+                failed: true,
+                ..ExitEffect::default()
+            }
         }
         _ => ExitEffect::default(),
     }
 }
 
-/// Counts an error against the job and the machine. Errors of several jobs on one machine usually mean that the
-/// machine is faulty, unless the job fails on every machine.
+/// Counts an error against the job, and against the machine unless the job is at fault.
 fn note_error(exit: &Exit, job: &mut Job, machine: &mut Machine) {
     job.note_task_failure(&machine.name, exit.at);
-    machine.error_streak.insert(exit.key.job);
-    let is_job_at_fault = job.failed_on.len() >= MIN_MACHINES_OF_FAULTY_JOB;
-    if machine.error_streak.len() >= MIN_JOBS_OF_FAULTY_MACHINE && !is_job_at_fault {
-        machine.faulty = true;
+    if !is_at_fault(job) {
+        machine.failures.note(exit.key.job, exit.at);
+    }
+}
+
+/// True if the errors of the job are attributed to the job: its tasks fail on every machine, or it is cancelled, which is
+/// what users do with a job that was submitted with a mistake.
+fn is_at_fault(job: &Job) -> bool {
+    job.failed_on.len() >= MIN_MACHINES_OF_FAULTY_JOB || job.is_cancel_requested()
+}
+
+impl SchedulerState {
+    /// Withdraws the evidence of a job's failures against machines if the job is at fault.
+    pub(crate) fn withdraw_failures_of_faulty_job(&mut self, id: JobId) {
+        let job = self.jobs.table.get(&id);
+        if !job.is_some_and(|job| job.failures > 0 && is_at_fault(job)) {
+            return;
+        }
+        for machine in self.machines.values_mut() {
+            self.placement.due |= machine.failures.withdraw(id);
+        }
+    }
+
+    /// Lets tasks start again on machines that have counted as faulty for long enough.
+    pub(crate) fn end_exclusions(&mut self, now: Moment) {
+        for machine in self.machines.values_mut() {
+            self.placement.due |= machine.failures.end_exclusion(now);
+        }
     }
 }
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -4,13 +4,13 @@
 use super::heartbeat_position::HeartbeatPosition;
 use super::image_cache::ImageCache;
 use super::quarantine::Quarantine;
+use super::task_failures::TaskFailures;
 use super::{AgentEpoch, FencingToken};
-use crate::jobs::JobId;
 use crate::placement::{FreeCapacity, Resources};
 use crate::provisioning::ListStatus;
 use crate::time::{Micros, Moment};
 use std::cell::Cell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// State of one machine: the reports of its worker and of the cloud, its lease, and the attempts on it.
 #[derive(Debug)]
@@ -73,10 +73,8 @@
     pub images: ImageCache,
     /// True if the machine will be returned to the cloud: no more tasks start on it.
     pub draining: bool,
-    /// True if tasks of several jobs failed on the machine without a completed task in between.
-    pub faulty: bool,
-    /// Jobs of which a task failed on the machine since a task last completed on it.
-    pub(super) error_streak: BTreeSet<JobId>,
+    /// Failures of tasks on the machine.
+    pub failures: TaskFailures,
     /// Time at which this leader, or an earlier one, first learned of the machine.
     pub known_since: Moment,
     /// Start of the current period without any attempt that uses resources; `None` while the machine is busy.
@@ -131,8 +129,7 @@
             orphans: Vec::new(),
             images: ImageCache::default(),
             draining: false,
-            faulty: false,
-            error_streak: BTreeSet::new(),
+            failures: TaskFailures::default(),
             known_since: now,
             idle_since: None,
             list_status: None,
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -34,6 +34,7 @@
 mod reconciliation;
 mod reported_tasks;
 mod revocation;
+mod task_failures;
 pub mod wire;
 mod worker_clients;
 
@@ -48,4 +49,5 @@
 pub use image_cache::{Image, ImageCache};
 pub use machine::Machine;
 pub use quarantine::Quarantine;
+pub use task_failures::TaskFailures;
 pub use worker_clients::WorkerClientPool;
--- a/src/workers/reported_tasks.rs
+++ b/src/workers/reported_tasks.rs
@@ -1,7 +1,7 @@
 //! Reconciliation of a single attempt with a worker's report.
 
 use super::attempt::MIN_COUNTED_RUN;
-use super::exits::{Exit, apply_exit};
+use super::exits::{Exit, ExitEffect, apply_exit};
 use super::wire::{ExitReason, Heartbeat, ReportedTask, TaskStatus};
 use super::{Attempt, AttemptKey, DeliveryStatus, DesiredState, FencingToken};
 use crate::invariants::{self, Invariant};
@@ -42,25 +42,27 @@
         }
         note_running(job, &mut attempt, now);
         stop_unwanted(job, key, &mut attempt);
-        let mut run_time = None;
+        let mut effect = ExitEffect::default();
         if task.status == TaskStatus::Exited && previous != Some(TaskStatus::Exited) {
             let exit = Exit {
                 key,
                 exit_reason: task.exit_reason.unwrap_or(ExitReason::Other),
                 at: now,
             };
-            let effect = apply_exit(&exit, job, machine, &mut attempt);
+            effect = apply_exit(&exit, job, machine, &mut attempt);
             self.placement.due = true;
             self.writes_due |= effect.completes_job;
-            run_time = effect.run_time;
         }
         let is_cached = task.status == TaskStatus::Running || attempt.done;
         let (image, gb) = (&job.spec.image, job.spec.image_gb);
         machine.images.note_use(image, gb, is_cached, cache_gb, now);
         machine.attempts.insert(key, attempt);
-        if let Some(run_time) = run_time {
+        if let Some(run_time) = effect.run_time {
             self.record_run_time(key.job, run_time);
         }
+        if effect.failed {
+            self.withdraw_failures_of_faulty_job(key.job);
+        }
     }
 }
 
--- a/tests/traces/placement.rs
+++ b/tests/traces/placement.rs
@@ -77,7 +77,9 @@
     trace
         .at(2.0)
         .heartbeat("big-east-1", &["run-1/0#2.1 error", "run-2/0#2.2 error"]);
-    let faulty = trace.scheduler.machines["big-east-1"].faulty;
+    let faulty = trace.scheduler.machines["big-east-1"]
+        .failures
+        .is_machine_faulty();
     trace.note(&format!("big-east-1 faulty: {faulty}"));
     for (i, t) in [(2, 3.0), (3, 5.0), (4, 7.0)] {
         let name = format!("big-east-{i}");
@@ -87,6 +89,56 @@
     assert_snapshot!(trace.log);
 }
 
+/// Starts two jobs on the only machine, and reports that both fail there.
+fn jobs_that_fail(trace: &mut LeaderTrace) {
+    trace.job(submission("run-1", |s| s.tasks = 1));
+    trace.job(submission("run-2", |s| s.tasks = 1));
+    trace.heartbeat("big-east-1", &[]);
+    trace.at(1.0).heartbeat("big-east-1", &[]);
+    trace
+        .at(2.0)
+        .heartbeat("big-east-1", &["run-1/0#2.1 error", "run-2/0#2.2 error"]);
+    trace.job(submission("run-3", |s| s.tasks = 1));
+}
+
+/// Number of attempts that the machine runs or starts.
+fn busy_attempts(trace: &LeaderTrace) -> usize {
+    let attempts = trace.scheduler.machines["big-east-1"].attempts.values();
+    attempts.filter(|attempt| attempt.holds_resources()).count()
+}
+
+/// Guards against a job that waits beside a sound machine: the failures of jobs with a mistake no longer count against
+/// the machine once their users have cancelled them.
+#[test]
+fn failures_of_cancelled_jobs_do_not_exclude_a_machine() {
+    let mut trace = LeaderTrace::new(2, one_team());
+    jobs_that_fail(&mut trace);
+    trace.at(5.0).heartbeat("big-east-1", &[]);
+    assert_eq!(busy_attempts(&trace), 0);
+    for id in ["run-1", "run-2"] {
+        trace.scheduler.request_cancellation(id, trace.now);
+    }
+    trace.at(8.0).heartbeat("big-east-1", &[]);
+    assert_eq!(busy_attempts(&trace), 1);
+}
+
+/// Guards against the same where nobody cancels the jobs and they have too few machines to be found at fault: the
+/// machine is tried again before a job has waited for 90 s.
+#[test]
+fn machine_excluded_for_failures_is_tried_again() {
+    let mut trace = LeaderTrace::new(2, one_team());
+    jobs_that_fail(&mut trace);
+    for second in (5..=86).step_by(3) {
+        trace
+            .on_timer(f64::from(second))
+            .heartbeat("big-east-1", &[]);
+        if busy_attempts(&trace) > 0 {
+            return;
+        }
+    }
+    panic!("no task starts:\n{}", trace.log);
+}
+
 /// A job whose first task is preempted soon after its start doesn't count as begun. It goes on waiting, and a task
 /// that starts after it became overdue isn't preempted for other jobs.
 #[test]
