A machine gets no more tasks than its report may list

Cause: placement limited what is put on a machine by CPUs, GPUs and memory, never by what the machine's report has to list, exited tasks until they are cleared too. Above 64 KiB every controller refuses the report with 413, nothing is cleared any more, and the lease ends.

Change: the size of the report is a resource of a machine (workers/report_size). A pass places a task only where the report has room for its largest possible entry, in JSON, with 4 KiB to spare.

--- a/src/placement/bin_packing.rs
+++ b/src/placement/bin_packing.rs
@@ -4,7 +4,7 @@
 use super::zones::TasksByZone;
 use crate::jobs::{Job, JobId};
 use crate::scheduler::SchedulerState;
-use crate::workers::Machine;
+use crate::workers::{Machine, entry_bytes};
 
 /// Cost, in seconds, of a machine whose CPUs cost twice the cheapest price. Other prices count in proportion to their
 /// premium over the cheapest.
@@ -107,7 +107,8 @@
     /// Cost of placing a task of the job on the candidate, in seconds; `None` if the task doesn't fit.
     fn cost(&self, job: &Job, candidate: &CandidateMachine, zones: &TasksByZone) -> Option<f64> {
         let demand = job.spec.demand;
-        if !demand.fits(candidate.free) || !demand.fits(candidate.future_free) {
+        let has_capacity = demand.fits(candidate.free) && demand.fits(candidate.future_free);
+        if !has_capacity || candidate.report_bytes < entry_bytes(&job.spec.id) {
             return None;
         }
         let machine = self.machines.get(&candidate.name)?;
--- a/src/placement/binding.rs
+++ b/src/placement/binding.rs
@@ -6,7 +6,7 @@
 use crate::jobs::JobId;
 use crate::scheduler::SchedulerState;
 use crate::time::Moment;
-use crate::workers::{Attempt, AttemptKey};
+use crate::workers::{Attempt, AttemptKey, entry_bytes};
 use std::cmp::Reverse;
 
 impl SchedulerState {
@@ -49,6 +49,9 @@
             .images
             .note_use(&job.spec.image, job.spec.image_gb, false, cache_gb, now);
         job.bind(task);
+        candidate.report_bytes = candidate
+            .report_bytes
+            .saturating_sub(entry_bytes(&job.spec.id));
         candidate.free = candidate.free.minus(job.spec.demand);
         candidate.future_free = candidate.future_free.minus(job.spec.demand);
         Some(machine.zone.clone())
--- a/src/placement/machine_capacity.rs
+++ b/src/placement/machine_capacity.rs
@@ -58,6 +58,10 @@
                 stopping = stopping.plus(demand);
             }
         }
-        FreeCapacity { free, stopping }
+        FreeCapacity {
+            free,
+            stopping,
+            report_bytes: machine.report_bytes_left(&self.jobs),
+        }
     }
 }
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -74,11 +74,16 @@
         let usable = self.machines.values().filter(|m| self.is_usable(m, now));
         usable
             .map(|m| {
-                let FreeCapacity { free, stopping } = self.capacity_left(m);
+                let FreeCapacity {
+                    free,
+                    stopping,
+                    report_bytes,
+                } = self.capacity_left(m);
                 CandidateMachine {
                     name: m.name.clone(),
                     free,
                     future_free: free.plus(stopping),
+                    report_bytes,
                     reserved: false,
                 }
             })
--- a/src/placement/pass_state.rs
+++ b/src/placement/pass_state.rs
@@ -13,6 +13,8 @@
     /// Capacity that will be free once the attempts being stopped have exited, less what is already allocated to
     /// tasks that wait for it.
     pub(super) future_free: Resources,
+    /// Bytes that the machine's report has left for more attempts.
+    pub(super) report_bytes: usize,
     /// Reserved for an overdue job: no other task is placed here.
     pub(super) reserved: bool,
 }
--- a/src/placement/resources.rs
+++ b/src/placement/resources.rs
@@ -114,4 +114,6 @@
     pub free: Resources,
     /// Capacity held by attempts that are being stopped.
     pub stopping: Resources,
+    /// Bytes that the machine's report has left for more attempts.
+    pub report_bytes: usize,
 }
--- a/tests/traces/placement.rs
+++ b/tests/traces/placement.rs
@@ -1,7 +1,11 @@
 //! Placement: the machines on which tasks start, and the attempts that are preempted for them.
 
 use crate::trace::{LeaderTrace, decimal, one_team, submission, team};
+use aspenreel::http::MAX_REQUEST_BODY_BYTES;
+use aspenreel::http::cbor::json_len;
 use aspenreel::jobs::Priority;
+use aspenreel::store::to_value;
+use aspenreel::workers::wire::{ExitReason, ReportedTask, TaskStatus};
 use insta::assert_snapshot;
 
 /// With `spread`, at most half of the tasks, rounded up, are in one zone. With `samePlace`, all are in one zone.
@@ -89,6 +93,39 @@
     assert_snapshot!(trace.log);
 }
 
+/// Guards against a machine that loses all of its work because its report is too large for a request: a huge array of
+/// tiny tasks is placed on a machine only while the report has room for them, running or exited.
+#[test]
+fn tiny_tasks_do_not_make_a_report_too_large() {
+    let mut trace = LeaderTrace::new(2, one_team());
+    trace.heartbeat("big-east-1", &[]);
+    trace.job(submission("run-000001", |s| {
+        s.tasks = 100_000;
+        s.cpus = decimal(0.01);
+        s.ram_gb = decimal(0.01);
+    }));
+    trace.on_timer(1.0);
+    let mut report = trace.next_heartbeat("big-east-1", 2, 1, &[]);
+    for second in [3.0, 6.0] {
+        let attempts = trace.scheduler.machines["big-east-1"].attempts.keys();
+        report.tasks = attempts
+            .map(|key| ReportedTask {
+                task_id: format!("run-000001/{}", key.task),
+                attempt: key.attempt,
+                status: TaskStatus::Exited,
+                exit_reason: Some(ExitReason::Done),
+                checkpointed: Some(false),
+            })
+            .collect();
+        let size = json_len(&to_value(&report));
+        assert!(size <= MAX_REQUEST_BODY_BYTES, "{size} bytes");
+        assert!(report.tasks.len() > 500, "too few tasks start");
+        // None of them is cleared before the done set is written, and none of the next ones may start.
+        report.sequence += 1;
+        trace.at(second).send(&report);
+    }
+}
+
 /// Starts two jobs on the only machine, and reports that both fail there.
 fn jobs_that_fail(trace: &mut LeaderTrace) {
     trace.job(submission("run-1", |s| s.tasks = 1));
