Starts that a reply has no room for are not noted as sent

Cause: each start was noted as sent with the reply, then the reply was cut off after 300 commands. The next report without the missing starts counted as proof of a lost reply, so the machine was quarantined.

Change: only the starts that the reply carries are noted as sent.

--- a/src/workers/heartbeat_commands.rs
+++ b/src/workers/heartbeat_commands.rs
@@ -38,7 +38,7 @@
     Nothing,
     /// Send this command.
     Send(WorkerCommand),
-    /// Send this start command, after all other commands.
+    /// Send this start command, after all other commands and if the reply has room for it.
     Start(WorkerCommand),
     /// Remove the attempt: its start command was never sent, and it should no longer run on this machine.
     Drop,
@@ -66,7 +66,7 @@
             match context.next_step(job, *key, attempt) {
                 NextStep::Nothing => {}
                 NextStep::Send(command) => commands.push(command),
-                NextStep::Start(command) => starts.push(command),
+                NextStep::Start(command) => starts.push((*key, command)),
                 NextStep::Drop => dropped.push(*key),
                 NextStep::AwaitTokenAbove(token) => {
                     log_blocked_clear(name, *key, token);
@@ -77,11 +77,23 @@
         if !dropped.is_empty() {
             self.drop_never_sent(name, dropped);
         }
-        commands.extend(starts);
         commands.truncate(MAX_COMMANDS);
+        starts.truncate(MAX_COMMANDS - commands.len());
+        for (key, command) in starts {
+            self.note_start_sent(name, key, context.position);
+            commands.push(command);
+        }
         commands
     }
 
+    /// Records that the reply to the heartbeat at this position carries the attempt's start command.
+    fn note_start_sent(&mut self, name: &str, key: AttemptKey, position: HeartbeatPosition) {
+        let machine = self.machines.get_mut(name);
+        if let Some(attempt) = machine.and_then(|machine| machine.attempts.get_mut(&key)) {
+            attempt.start_sent_in_reply_to = Some(position);
+        }
+    }
+
     /// Removes attempts whose start commands were never sent, so that their tasks may start on other machines.
     pub(super) fn drop_never_sent(&mut self, name: &str, keys: Vec<AttemptKey>) {
         let Some(machine) = self.machines.get_mut(name) else {
@@ -210,7 +222,6 @@
         if key.task >= job.start_watermark || !self.is_registered {
             return NextStep::Nothing;
         }
-        attempt.start_sent_in_reply_to = Some(self.position);
         NextStep::Start(attempt.command(&job.spec.id, key, CommandKind::Run))
     }
 }
--- a/tests/traces/direct_calls.rs
+++ b/tests/traces/direct_calls.rs
@@ -1,7 +1,8 @@
 //! Start commands sent in direct calls to workers, and the records that must be stored before a start is sent.
 
 use crate::trace::{LeaderTrace, at, decimal, one_team, submission};
-use aspenreel::workers::DirectResult;
+use aspenreel::workers::wire::{ReportedTask, TaskStatus};
+use aspenreel::workers::{DirectResult, HeartbeatReply};
 use insta::assert_snapshot;
 
 /// A start whose direct call got no answer may still reach the worker at any time. Its task stays bound, and the
@@ -213,3 +214,37 @@
         .write_round(true);
     assert_snapshot!(trace.log);
 }
+
+/// Guards against a sound machine in quarantine: if more starts are due than one reply may carry, those that it leaves
+/// out were not sent, so their absence from the next report doesn't mean that the reply was lost.
+#[test]
+fn starts_that_a_reply_leaves_out_are_not_considered_lost() {
+    let mut trace = LeaderTrace::new(2, one_team());
+    trace.heartbeat("big-east-1", &[]);
+    trace.job(submission("run-1", |s| {
+        s.tasks = 400;
+        s.cpus = decimal(0.05);
+        s.ram_gb = decimal(0.05);
+    }));
+    trace.on_timer(1.0);
+    let mut running = Vec::new();
+    for second in [3.0, 6.0, 9.0] {
+        let mut report = trace.next_heartbeat("big-east-1", 2, 1, &[]);
+        report.tasks.clone_from(&running);
+        trace.now = at(second);
+        let HeartbeatReply::Commands { commands, .. } =
+            trace.scheduler.heartbeat(&report, trace.now)
+        else {
+            panic!("no reply at {second} s");
+        };
+        running.extend(commands.iter().map(|command| ReportedTask {
+            task_id: command.task_id.clone(),
+            attempt: command.attempt,
+            status: TaskStatus::Running,
+            exit_reason: None,
+            checkpointed: None,
+        }));
+        assert!(trace.scheduler.machines["big-east-1"].quarantine.is_none());
+    }
+    assert_eq!(running.len(), 400);
+}
