--- a/src/workers/fencing.rs
+++ b/src/workers/fencing.rs
@@ -7,7 +7,7 @@
 //! agent epoch ends with its lease. Until then its tasks keep running, and no other machine is affected.
 //!
 //! An attempt whose start was answered is cleared in a reply with a higher token than the start's, so that the worker
-//! refuses copies of the command that the network delivers later ([`super::delivery_status`]). Such clears aren't urgent:
+//! refuses copies of the command that the network delivers later (module `delivery_status`). Such clears aren't urgent:
 //! the attempt has exited, and its task may already run elsewhere.
 //!
 //! # Cancellations
