--- a/src/scheduler/prior_term_release.rs
+++ b/src/scheduler/prior_term_release.rs
@@ -2,6 +2,31 @@
 
 use super::SchedulerState;
 use crate::time::Moment;
+use std::fmt;
+
+/// Proof that no attempt of an earlier term that this leader doesn't know can be on a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EmptinessProof {
+    /// A report contained a fencing token of this leader, and all attempts on the machine.
+    Reconciled,
+    /// The agent epoch has ended in this term.
+    EpochEnded,
+    /// The machine no longer exists.
+    Gone,
+    /// No controller can have renewed the machine's lease for a full lease.
+    LeaseExpired,
+}
+
+impl fmt::Display for EmptinessProof {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            EmptinessProof::Reconciled => "reconciled",
+            EmptinessProof::EpochEnded => "epoch_ended",
+            EmptinessProof::Gone => "gone",
+            EmptinessProof::LeaseExpired => "lease_expired",
+        })
+    }
+}
 
 impl SchedulerState {
     /// Releases tasks of earlier terms for placement once no unreconciled machine can hold them any more.
@@ -14,14 +39,18 @@
         if self.prior_term.released {
             return;
         }
-        let machines = &self.machines;
-        let provisioning = &self.provisioning;
-        self.prior_term.unreconciled.retain(|name| {
-            let reconciled = machines
-                .get(name)
-                .is_some_and(|m| m.reconciled || m.epoch_ended);
-            !reconciled && !provisioning.is_gone(name)
-        });
+        let proofs: Vec<(String, EmptinessProof)> = self
+            .prior_term
+            .unreconciled
+            .iter()
+            .filter_map(|name| Some((name.clone(), self.emptiness_proof(name, now)?)))
+            .collect();
+        for (name, proof) in &proofs {
+            self.log_emptiness(name, *proof, now);
+            if *proof != EmptinessProof::LeaseExpired {
+                self.prior_term.unreconciled.remove(name);
+            }
+        }
         let lease_expired = now - self.started >= self.max_lease_duration();
         if !lease_expired && !self.prior_term.unreconciled.is_empty() {
             return;
@@ -43,4 +72,31 @@
             job.end_reconciliation();
         }
     }
+
+    /// Proof that the machine holds no attempt of an earlier term that this leader doesn't know, if there is one.
+    fn emptiness_proof(&self, name: &str, now: Moment) -> Option<EmptinessProof> {
+        let machine = self.machines.get(name);
+        if machine.is_some_and(|m| m.reconciled) {
+            Some(EmptinessProof::Reconciled)
+        } else if machine.is_some_and(|m| m.epoch_ended) {
+            Some(EmptinessProof::EpochEnded)
+        } else if self.provisioning.is_gone(name) {
+            Some(EmptinessProof::Gone)
+        } else {
+            let lease_expired = now - self.started >= self.max_lease_duration();
+            lease_expired.then_some(EmptinessProof::LeaseExpired)
+        }
+    }
+
+    fn log_emptiness(&self, name: &str, proof: EmptinessProof, now: Moment) {
+        let machine = self.machines.get(name);
+        let renewed_at = machine.map_or(self.started, |m| m.lease_renewed_at);
+        log::debug!(
+            term = self.term,
+            machine = name,
+            reason:% = proof,
+            renewed_s_ago = (now - renewed_at).as_secs_f64();
+            "machine of earlier terms released"
+        );
+    }
 }
--- a/src/workers/heartbeat.rs
+++ b/src/workers/heartbeat.rs
@@ -37,15 +37,30 @@
         if self.must_withhold(&heartbeat.machine, now) {
             return HeartbeatReply::Withheld;
         }
-        if let Some(machine) = self.machines.get_mut(&heartbeat.machine) {
-            machine.lease_renewed_at = now;
-        }
+        self.note_lease_renewal(heartbeat, now);
         self.review_quarantine(&heartbeat.machine, now);
         self.release_prior_term(now);
         self.place_if_due(now);
         self.reply_with_commands(heartbeat, now)
     }
 
+    /// Records that the reply to this heartbeat renews the machine's lease.
+    fn note_lease_renewal(&mut self, heartbeat: &Heartbeat, now: Moment) {
+        let Some(machine) = self.machines.get_mut(&heartbeat.machine) else {
+            return;
+        };
+        machine.lease_renewed_at = now;
+        if !machine.reconciled {
+            log::debug!(
+                term = self.term,
+                machine = heartbeat.machine,
+                agent_epoch = heartbeat.agent_epoch,
+                fencing_token = heartbeat.fencing_token;
+                "lease of unreconciled machine renewed"
+            );
+        }
+    }
+
     /// Adds the machine if it is unknown, and queues it for the registry. Returns false if the machine no longer
     /// exists, or if the limit on the number of machines is reached.
     fn ensure_machine_known(&mut self, heartbeat: &Heartbeat, now: Moment) -> bool {
