A lease that the new leader renewed counts from its renewal

A task started on a second machine while it ran on a first one, after the leader had ended beside a machine whose network flapped.

Cause: tasks of earlier terms were placed again one lease after the term began. That holds for agent epochs which nobody renews; but the new leader's own reply renews the epoch of a machine that isn't reconciled, and a held-back start of the last leader may be executed there just before the reply arrives.

Change: the wait counts from the last reply that the worker may have received. A newer heartbeat with an old fencing token proves that it received none of the earlier ones. From half a lease after the beginning of the term a machine that has lost a reply gets no further one, and is probed by direct calls instead, so that lost replies don't defer the release for ever. The lease of a new agent epoch counts from its first report, since a machine whose replies were withheld in it was refused for up to a lease otherwise.

--- a/src/scheduler/prior_term.rs
+++ b/src/scheduler/prior_term.rs
@@ -11,6 +11,8 @@
     pub released: bool,
     /// Names of registered machines that may hold attempts of earlier terms and are not reconciled.
     pub unreconciled: BTreeSet<String>,
+    /// Number of machines that were released only because their leases had expired.
+    pub expired_machines: u32,
     /// Machines that an earlier term registered, by name, each with a time at which it is known to have existed.
     pub machines: BTreeMap<String, Moment>,
     /// True if a stored page of start watermarks or of the machine registry can't be decoded: any task of a job from an
--- a/src/scheduler/prior_term_release.rs
+++ b/src/scheduler/prior_term_release.rs
@@ -13,7 +13,7 @@
     EpochEnded,
     /// The machine no longer exists.
     Gone,
-    /// No controller can have renewed the machine's lease for a full lease.
+    /// No controller can have renewed an agent epoch of an earlier term for a full lease.
     LeaseExpired,
 }
 
@@ -32,9 +32,8 @@
     /// Releases tasks of earlier terms for placement once no unreconciled machine can hold them any more.
     ///
     /// A task starts only on a registered machine, and only after a start watermark covers it. Tasks above the
-    /// watermarks were therefore never started, and the others can only be on registered machines. Once each of
-    /// these machines was reconciled in this term, or its agent epoch has certainly ended, no task is
-    /// unreconciled, and the release doesn't wait for a full lease to expire.
+    /// watermarks were therefore never started, and the others can only be on registered machines. Each of these
+    /// machines counts as unreconciled until there is proof that it holds no attempt which this leader doesn't know.
     pub fn release_prior_term(&mut self, now: Moment) {
         if self.prior_term.released {
             return;
@@ -45,27 +44,23 @@
             .iter()
             .filter_map(|name| Some((name.clone(), self.emptiness_proof(name, now)?)))
             .collect();
-        for (name, proof) in &proofs {
-            self.log_emptiness(name, *proof, now);
-            if *proof != EmptinessProof::LeaseExpired {
-                self.prior_term.unreconciled.remove(name);
+        for (name, proof) in proofs {
+            self.log_emptiness(&name, proof, now);
+            self.prior_term.unreconciled.remove(&name);
+            if proof == EmptinessProof::LeaseExpired && !self.machines.contains_key(&name) {
+                self.provisioning.registry.remove(&name);
+                self.prior_term.machines.remove(&name);
             }
+            self.prior_term.expired_machines += u32::from(proof == EmptinessProof::LeaseExpired);
         }
-        let lease_expired = now - self.started >= self.max_lease_duration();
-        if !lease_expired && !self.prior_term.unreconciled.is_empty() {
+        if !self.prior_term.unreconciled.is_empty() {
             return;
         }
         log::info!(
             term = self.term,
-            unreconciled_machines = self.prior_term.unreconciled.len();
+            unreconciled_machines = self.prior_term.expired_machines;
             "tasks of earlier terms released for placement"
         );
-        for name in std::mem::take(&mut self.prior_term.unreconciled) {
-            if !self.machines.contains_key(&name) {
-                self.provisioning.registry.remove(&name);
-                self.prior_term.machines.remove(&name);
-            }
-        }
         self.prior_term.released = true;
         self.placement.due = true;
         for job in self.jobs.table.values_mut() {
@@ -83,14 +78,14 @@
         } else if self.provisioning.is_gone(name) {
             Some(EmptinessProof::Gone)
         } else {
-            let lease_expired = now - self.started >= self.max_lease_duration();
+            let lease_expired =
+                now - self.prior_epoch_renewed_at(name) >= self.max_lease_duration();
             lease_expired.then_some(EmptinessProof::LeaseExpired)
         }
     }
 
     fn log_emptiness(&self, name: &str, proof: EmptinessProof, now: Moment) {
-        let machine = self.machines.get(name);
-        let renewed_at = machine.map_or(self.started, |m| m.lease_renewed_at);
+        let renewed_at = self.prior_epoch_renewed_at(name);
         log::debug!(
             term = self.term,
             machine = name,
--- a/src/workers/heartbeat.rs
+++ b/src/workers/heartbeat.rs
@@ -34,13 +34,17 @@
         if !self.ensure_machine_known(heartbeat, now) || !self.accept_heartbeat(heartbeat, now) {
             return HeartbeatReply::Stale;
         }
-        if self.must_withhold(&heartbeat.machine, now) {
-            return HeartbeatReply::Withheld;
+        self.release_prior_term(now);
+        let is_withheld = self.must_withhold(&heartbeat.machine, now)
+            || self.must_end_prior_epoch(&heartbeat.machine, now);
+        if !is_withheld {
+            self.note_lease_renewal(heartbeat, now);
         }
-        self.note_lease_renewal(heartbeat, now);
         self.review_quarantine(&heartbeat.machine, now);
-        self.release_prior_term(now);
         self.place_if_due(now);
+        if is_withheld {
+            return HeartbeatReply::Withheld;
+        }
         self.reply_with_commands(heartbeat, now)
     }
 
@@ -51,6 +55,7 @@
         };
         machine.lease_renewed_at = now;
         if !machine.reconciled {
+            machine.early_replies.note_sent(now);
             log::debug!(
                 term = self.term,
                 machine = heartbeat.machine,
@@ -116,6 +121,9 @@
         // From here on the machine counts as alive, so tasks may be placed on it again.
         self.placement.due |= !machine.is_alive(self.config.heartbeat_interval, now);
         machine.note_heartbeat(position, now);
+        if heartbeat.fencing_token < FencingToken::of_term(self.term) {
+            machine.early_replies.note_lost(now);
+        }
         // Otherwise the answer to a direct call, with a newer list of tasks, overtook the heartbeat. Its list of
         // tasks is outdated then, but a reply to it is as valid as to any other heartbeat.
         if position > machine.reconciled_position {
--- a/src/workers/heartbeat_handler.rs
+++ b/src/workers/heartbeat_handler.rs
@@ -41,12 +41,13 @@
             return self.misdirected(&state);
         };
         let (term, valid_until) = (lease.term, lease.valid_until);
-        match scheduler.heartbeat(&heartbeat, now) {
+        let reply = scheduler.heartbeat(&heartbeat, now);
+        self.wake_loops(scheduler);
+        match reply {
             HeartbeatReply::Commands {
                 fencing_token,
                 commands,
             } => {
-                self.wake_loops(scheduler);
                 drop(state);
                 let body = encode(&HeartbeatReplyBody {
                     fencing_token,
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -1,6 +1,7 @@
 //! The leader's state of one machine.
 
 use super::attempt::{Attempt, AttemptKey, Orphan};
+use super::early_replies::EarlyReplies;
 use super::heartbeat_position::HeartbeatPosition;
 use super::image_cache::ImageCache;
 use super::quarantine::Quarantine;
@@ -51,8 +52,11 @@
     pub registered: bool,
     /// Present while the machine is quarantined because replies and commands don't seem to reach it.
     pub quarantine: Option<Quarantine>,
-    /// Latest time at which this or an earlier leader may have renewed the machine's lease.
+    /// Latest time at which this or an earlier leader may have renewed the lease of the current agent epoch, or at which
+    /// the epoch may have begun.
     pub lease_renewed_at: Moment,
+    /// Replies of this leader before the machine was reconciled.
+    pub(super) early_replies: EarlyReplies,
     /// Arrival time of the newest heartbeat or answer to a direct call.
     pub last_seen: Option<Moment>,
     /// Arrival time of the newest heartbeat. Answers to direct calls don't count: unlike heartbeats they neither
@@ -120,6 +124,7 @@
             registered: false,
             quarantine: None,
             lease_renewed_at: now,
+            early_replies: EarlyReplies::default(),
             last_seen: None,
             last_heartbeat: None,
             heartbeat_gap: Micros::ZERO,
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -5,7 +5,8 @@
 //! - Decisions: `heartbeat` accepts or rejects a heartbeat, `reconciliation` applies its report,
 //!   `heartbeat_commands` selects the commands in the reply. `direct_calls` selects the commands that are sent
 //!   to a worker without waiting for its next heartbeat, `direct_results` applies the answers. `agent_epochs`
-//!   ends epochs whose lease expired, `revocation` revokes start commands that may still be executed.
+//!   ends epochs whose lease expired, `prior_epochs` limits how replies defer the end of epochs of earlier terms,
+//!   `revocation` revokes start commands that may still be executed.
 //! - HTTP handler: `heartbeat_handler`. Sender loop: `command_sender`.
 
 #![warn(missing_docs)]
@@ -20,6 +21,7 @@
 mod direct_call;
 mod direct_calls;
 mod direct_results;
+mod early_replies;
 mod exits;
 pub mod fencing;
 mod fencing_token;
@@ -30,6 +32,7 @@
 mod image_cache;
 mod machine;
 mod missing_attempts;
+mod prior_epochs;
 mod quarantine;
 mod reconciliation;
 mod report_size;
--- a/src/workers/reconciliation.rs
+++ b/src/workers/reconciliation.rs
@@ -45,6 +45,7 @@
         }
         self.end_epoch(&report.machine);
         if let Some(machine) = self.machines.get_mut(&report.machine) {
+            machine.lease_renewed_at = now;
             // The worker may have been disconnected or stopped. It may also send heartbeats without receiving the
             // replies.
             machine.note_undelivered(now);
--- a/tests/traces/main.rs
+++ b/tests/traces/main.rs
@@ -8,6 +8,7 @@
 mod failover;
 mod fencing;
 mod heartbeats;
+mod lease_renewals;
 mod outcomes;
 mod placement;
 mod prior_term_limits;
