A machine of an unreadable registry page is unreconciled while its lease lasts

Cause: the names on a page of the machine registry that can't be decoded are unknown, so the page's key stood for its machines, until one lease after the term began. The leader may have answered such a machine since, which renews the agent epoch in which a held-back start of the last leader is valid.

Change: while a page can't be decoded, each machine counts as unreconciled from its first heartbeat on, and is released by the same proofs as registered ones.

--- a/src/scheduler/prior_term.rs
+++ b/src/scheduler/prior_term.rs
@@ -29,4 +29,12 @@
         self.unreconciled.insert(name.to_string());
         self.machines.insert(name.to_string(), existed_at);
     }
+
+    /// Adds a machine whose first heartbeat in this term has arrived, if it isn't known which machines earlier terms
+    /// registered: the reply renews its lease.
+    pub fn note_first_heartbeat(&mut self, name: &str) {
+        if self.pages_unreadable && !self.released {
+            self.unreconciled.insert(name.to_string());
+        }
+    }
 }
--- a/src/workers/heartbeat.rs
+++ b/src/workers/heartbeat.rs
@@ -81,6 +81,9 @@
         let registered = self.register(&heartbeat.machine, now);
         if let Some(machine) = self.machines.get_mut(&heartbeat.machine) {
             machine.registered = registered;
+            if machine.last_seen.is_none() {
+                self.prior_term.note_first_heartbeat(&heartbeat.machine);
+            }
         }
         true
     }
--- a/tests/traces/lease_renewals.rs
+++ b/tests/traces/lease_renewals.rs
@@ -109,3 +109,20 @@
         "{reply:?}"
     );
 }
+
+/// Guards against a task that runs twice: a page of the machine registry can't be decoded, and the new leader renews the
+/// lease of a machine that is registered there.
+#[test]
+fn machines_of_an_unreadable_registry_page_bind_tasks_while_their_leases_last() {
+    let mut trace = LeaderTrace::new(5, one_team());
+    let started = trace.now;
+    trace.scheduler.prior_term.pages_unreadable = true;
+    trace.scheduler.prior_term.note_machine("fleet/1", started);
+    trace.prior_term_job(submission("run-1", |s| s.tasks = 1));
+    trace.at(1.0).heartbeat("big-east-1", &[]);
+    assert!(old_heartbeat(&mut trace, 4.0, 1));
+    for seconds in [20.4, 20.6, 24.4] {
+        assert!(!is_placed_at(&mut trace, seconds), "placed at {seconds} s");
+    }
+    assert!(is_placed_at(&mut trace, 24.6));
+}
