--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -173,6 +173,12 @@
             .count() as u32
     }
 
+    /// True if the job is cancelled, or should be, and a machine that is not reconciled yet may run some of its tasks.
+    pub fn has_unreconciled_cancelled_tasks(&self) -> bool {
+        let is_cancelled = self.is_cancel_requested() || self.outcome == Some(Outcome::Cancelled);
+        is_cancelled && self.maybe_unreconciled() > 0
+    }
+
     /// Allows all tasks to be placed; called once no unreconciled machine can have any of them.
     pub fn end_reconciliation(&mut self) {
         if self.unreconciled_below > 0 {
--- a/tests/traces/lease_renewals.rs
+++ b/tests/traces/lease_renewals.rs
@@ -1,6 +1,7 @@
 //! Replies of a new leader renew the leases of machines that may hold tasks of earlier terms.
 
 use crate::trace::{LeaderTrace, one_team, submission};
+use aspenreel::jobs::{DoneRecord, Outcome};
 use aspenreel::workers::{DirectResult, HeartbeatReply};
 use insta::assert_snapshot;
 
@@ -126,3 +127,25 @@
     }
     assert!(is_placed_at(&mut trace, 24.6));
 }
+
+/// Guards against a cancelled task that outlasts the time limit of its cancellation: a held-back start of the last
+/// leader is executed just before the new leader's first reply renews the lease of a machine that comes back late. The
+/// job was cancelled 9 s before the new term began, so a lease from 18 s on would end a second too late.
+#[test]
+fn late_machine_is_probed_before_a_reply_may_prolong_cancelled_tasks() {
+    let mut trace = new_leader();
+    let cancelled = DoneRecord {
+        state: Some(Outcome::Cancelled),
+        ..DoneRecord::default()
+    };
+    trace
+        .scheduler
+        .apply_done_record("run-1", 0, &cancelled, 200);
+    assert!(!old_heartbeat(&mut trace, 18.0, 1), "lease renewed");
+    let started = ["run-1/0#4.9 running"];
+    trace
+        .direct_call(|trace| DirectResult::Answered(trace.next_heartbeat(SUSPECT, 5, 1, &started)))
+        .at(19.0)
+        .heartbeat(SUSPECT, &started);
+    assert_snapshot!(trace.log);
+}
