Test: copies of answered starts, when workers and controllers come back at once

Need: on a service like this one a task ran on two machines, and a cancelled task ran again, after a controller or a machine had come back within a second and a late copy of an answered start reached the machine. Whether that can happen here was to be shown by a test, also for tasks that were moved or cancelled.

Change: the simulation can restart workers: all attempts end, and the worker is back after 0.05 to 0.95 s in its next agent epoch; in half of the runs it has forgotten its fencing token. A model test restarts a third to all of them twelve times and the leader four times within a second, while four of five direct commands arrive once more after 0.1 to 96 s, urgent jobs preempt others and every third job is cancelled.

--- a/crates/simulation/src/machine_faults.rs
+++ b/crates/simulation/src/machine_faults.rs
@@ -5,6 +5,7 @@
 use crate::simulation::Simulation;
 use crate::state::SimulationState;
 use crate::worker_protocol::split_task_id;
+use aspenreel::workers::FencingToken;
 use aspenreel::workers::wire::TaskStatus;
 use std::sync::Arc;
 
@@ -79,6 +80,26 @@
         self.change_machines(names, span, |m, until| m.inbound_dropped_until = until);
     }
 
+    /// Restarts the workers of the machines: all their tasks end, and each worker is back after `span` seconds in its
+    /// next agent epoch. It has forgotten its fencing token if `forgets_token` is true.
+    pub fn restart_workers(self: &Arc<Self>, names: &[String], span: f64, forgets_token: bool) {
+        for name in names {
+            self.end_tasks_of(name);
+        }
+        self.change_machines(names, span, |m, until| {
+            m.up_at = m.up_at.max(until);
+            m.agent_epoch = m.agent_epoch.next();
+            m.lease_started_at = m.up_at;
+            m.in_flight = None;
+            if forgets_token {
+                m.fencing_token = FencingToken::NONE;
+            }
+        });
+        for name in names {
+            self.heartbeat_at(name, self.now() + secs(span));
+        }
+    }
+
     /// Gives the machines a preemption notice, and takes them back `notice` seconds later.
     pub fn give_preemption_notice(self: &Arc<Self>, names: &[String], notice: f64) {
         self.change_machines(names, notice, |m, until| m.preempted_at = Some(until));
@@ -102,14 +123,25 @@
     /// Removes a machine together with its tasks, unless it is gone already. `change` records the time and the cause.
     pub(crate) fn remove_machine(&self, name: &str, change: impl Fn(&mut Machine, Time)) {
         let now = self.now();
+        {
+            let mut state = self.state();
+            let Some(m) = state.machines.get_mut(name).filter(|m| m.gone_at.is_none()) else {
+                return;
+            };
+            change(m, now);
+        }
+        self.end_tasks_of(name);
+    }
+
+    /// Ends all tasks on a machine without a report.
+    fn end_tasks_of(&self, name: &str) {
         let mut state = self.state();
         let SimulationState {
             machines, checker, ..
         } = &mut *state;
-        let Some(m) = machines.get_mut(name).filter(|m| m.gone_at.is_none()) else {
+        let Some(m) = machines.get_mut(name) else {
             return;
         };
-        change(m, now);
         for ((task_id, _), task) in std::mem::take(&mut m.tasks) {
             if is_active(&task) {
                 let (id, number) = split_task_id(&task_id);
--- a/tests/model/repeated_commands.rs
+++ b/tests/model/repeated_commands.rs
@@ -61,3 +61,30 @@
         assert!(summary.leaders >= 4 && summary.done > 15, "{summary:?}");
     }
 }
+
+/// The same while workers and controllers come back within a second: a restarted worker knows none of its attempts, and
+/// in half of the runs not even its fencing token.
+#[test]
+fn repeated_starts_are_not_executed_after_workers_come_back_at_once() {
+    let summaries = run(SEEDS, &scarce_cluster(), |sim, rng| {
+        preempted_and_cancelled_jobs(sim, rng);
+        let forgets_token = rng.bool();
+        for k in 0..12 {
+            let at = 12.0 + 9.0 * f64::from(k) + rng.f64() * 6.0;
+            let (back, of) = (0.05 + rng.f64() * 0.9, rng.usize(1..4));
+            sim.at(at, move |sim| {
+                let some = every_nth_of(sim.machines_up(), of);
+                sim.restart_workers(&some, back, forgets_token);
+            });
+            if k % 3 == 0 {
+                let back = 0.1 + rng.f64() * 0.8;
+                sim.at(at + rng.f64(), move |sim| {
+                    sim.crash(sim.leader_or_any(), back)
+                });
+            }
+        }
+    });
+    for summary in summaries {
+        assert!(summary.leaders >= 3 && summary.done > 10, "{summary:?}");
+    }
+}
