Quota is withheld for an overdue job only if it can serve it

Cause: each placement pass withholds the team's remaining quota for an overdue job that doesn't fit it, from all other jobs, without asking whether the missing quota can become free. What replicas of a service use doesn't.

Change: quota is withheld if it is enough for a task of the overdue job together with what the team's attempts free within the time that the job has waited already. Jobs of a higher priority are exempt until the job has waited for twice the maximum queue wait.

Result: urgent_jobs_start_beside_an_overdue_job_that_its_team_limit_cannot_serve failed before ('the urgent job began at inf s') and passes.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -16,6 +16,7 @@
 mod resources;
 mod schedule;
 mod team_quota;
+mod withheld_quota;
 mod zones;
 
 pub use queue_order::QueueOrder;
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -54,12 +54,16 @@
                 .collect()
         };
         let bound = self.jobs.table.values().filter(|j| j.is_bound());
+        let mut withheld_quota = Vec::new();
+        withheld_quota.resize_with(self.config.teams.len(), Vec::new);
         PlacementPass {
             with_capacity: indices_of(|c| c.free.cpu > 0),
             with_stopping: indices_of(|c| c.future_free != c.free),
             reserved: 0,
             unplaceable: Vec::new(),
             quota_left: self.quota_left_after(&used),
+            withheld_quota,
+            ending_usage: None,
             preemptable: None,
             borrowed_cpu: self.borrowed_cpu(&used),
             over_guarantee,
@@ -96,7 +100,8 @@
             return;
         };
         let Some(team) = job.team else { return };
-        let (demand, mut ready) = (job.spec.demand, job.ready());
+        let (demand, priority) = (job.spec.demand, job.spec.priority);
+        let mut ready = job.ready();
         let constrains_zones = job.spec.constrains_zones();
         let overdue = order.overdue.0;
         if overdue {
@@ -105,10 +110,9 @@
         let mut zones = self.tasks_by_zone(id);
         let mut lacks_machine = false;
         for _ in 0..ready {
-            if !demand.fits(pass.quota_left[team]) {
+            if !demand.fits(pass.quota_for(team, priority)) {
                 if overdue {
-                    // Withholds the team's remaining quota from its later jobs until it is enough for this one.
-                    pass.quota_left[team] = pass.quota_left[team].minus(demand);
+                    self.withhold_quota(id, pass, now);
                 }
                 break;
             }
--- a/src/placement/pass_state.rs
+++ b/src/placement/pass_state.rs
@@ -1,5 +1,6 @@
 //! State of one placement pass.
 
+use super::withheld_quota::{EndingUsage, WithheldQuota};
 use super::{QueueOrder, Resources};
 use crate::jobs::{JobId, Priority};
 use crate::workers::AttemptKey;
@@ -56,6 +57,10 @@
     pub(super) unplaceable: Vec<Resources>,
     /// Resources that each team may still use within its limit, in the order of the configured teams.
     pub(super) quota_left: Vec<Resources>,
+    /// Parts of each team's remaining quota that are withheld for its overdue jobs.
+    pub(super) withheld_quota: Vec<Vec<WithheldQuota>>,
+    /// Usage of each team's quota that ends by itself; computed when the first overdue job doesn't fit its quota.
+    pub(super) ending_usage: Option<Vec<Vec<EndingUsage>>>,
     /// Attempts that could be preempted; computed when the first job tries to preempt.
     pub(super) preemptable: Option<Vec<PreemptableAttempt>>,
     /// Thousandths of a CPU that each team uses beyond its guarantee; negative if it uses less.
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -121,7 +121,8 @@
             return Vec::new();
         }
         preemptor.zones = self.tasks_by_zone(id);
-        let waiting = waiting.min(pass.quota_left[team].task_capacity(job.spec.demand));
+        let quota = pass.quota_for(team, job.spec.priority);
+        let waiting = waiting.min(quota.task_capacity(job.spec.demand));
         let waiting = self.allocate_stopping_capacity(&preemptor, waiting, pass);
         if waiting == 0 {
             return Vec::new();
--- a/tests/traces/waiting.rs
+++ b/tests/traces/waiting.rs
@@ -1,7 +1,7 @@
 //! Every job starts in bounded time, even if small and urgent jobs keep arriving.
 
 use crate::trace::{ExecutingWorker, LeaderTrace, at, decimal, submission, team};
-use aspenreel::jobs::Priority;
+use aspenreel::jobs::{JobKind, Priority};
 use std::collections::BTreeMap;
 
 /// Submits a small and urgent job in each of these seconds, which together ask for more than the machine has, and
@@ -72,3 +72,84 @@
     let at = begun.get("run-1").copied().unwrap_or(f64::INFINITY);
     assert!((5.0..30.0).contains(&at), "run-1 began at {at} s");
 }
+
+/// Submits a job of the priority whose tasks each need 16 CPUs of the team's limit of 40, and lets it become overdue.
+fn overdue_batch(trace: &mut LeaderTrace, seconds: u32) {
+    trace.at(f64::from(seconds)).job(submission("run-2", |s| {
+        s.tasks = 2;
+        s.cpus = decimal(16.0);
+        s.accepted_us = u64::from(seconds) * 1_000_000;
+    }));
+}
+
+/// Guards against urgent jobs that wait without end behind an overdue job of their team, which its limit has no room
+/// for: what the team's service uses doesn't become free, so nothing is withheld for the overdue job.
+#[test]
+fn urgent_jobs_start_beside_an_overdue_job_that_its_team_limit_cannot_serve() {
+    let mut trace = LeaderTrace::new(2, vec![team("a", 32.0, 40.0)]);
+    let mut workers = [
+        ExecutingWorker::new("big-east-1"),
+        ExecutingWorker::new("big-east-2"),
+    ];
+    let mut begun = BTreeMap::new();
+    trace.job(submission("run-1", |s| {
+        s.kind = JobKind::Standing;
+        s.priority = Priority::Production;
+        s.tasks = 15;
+        s.cpus = decimal(2.0);
+    }));
+    overdue_batch(&mut trace, 2);
+    for second in 0..220 {
+        if second == 120 {
+            trace.at(120.0).job(submission("run-3", |s| {
+                s.tasks = 5;
+                s.cpus = decimal(2.0);
+                s.priority = Priority::High;
+            }));
+        }
+        let run = |job: &str| if job == "run-1" { 1e9 } else { 3.0 };
+        for worker in &mut workers {
+            trace.run_worker(worker, f64::from(second), &run, &mut begun);
+        }
+    }
+    let urgent = begun.get("run-3").copied().unwrap_or(f64::INFINITY);
+    assert!(urgent < 125.0, "the urgent job began at {urgent} s");
+    assert!(!begun.contains_key("run-2"), "the limit has no room");
+}
+
+/// Guards against an overdue job that starves at its team's limit: urgent jobs of the team keep arriving and use the
+/// whole limit with small tasks, of which never enough end at once. It starts within four minutes, and most urgent jobs start, too.
+#[test]
+fn overdue_job_starts_at_its_team_limit_under_urgent_load() {
+    let mut trace = LeaderTrace::new(2, vec![team("a", 32.0, 40.0)]);
+    let mut workers = [
+        ExecutingWorker::new("big-east-1"),
+        ExecutingWorker::new("big-east-2"),
+    ];
+    let mut begun = BTreeMap::new();
+    for second in 0..260 {
+        trace.at(f64::from(second));
+        if second == 20 {
+            overdue_batch(&mut trace, 20);
+        }
+        trace.job(submission(&format!("run-{}", 1000 + second), |s| {
+            s.tasks = 4;
+            s.cpus = decimal(1.0);
+            s.priority = Priority::High;
+            s.estimate_s = decimal(12.0);
+            s.accepted_us = u64::from(second as u32) * 1_000_000;
+        }));
+        // Jobs of three lengths, so that their tasks don't end together.
+        let run = |job: &str| 11.0 + f64::from(job.bytes().last().unwrap_or(0) % 3);
+        for worker in &mut workers {
+            trace.run_worker(worker, f64::from(second), &run, &mut begun);
+        }
+    }
+    let overdue = begun.get("run-2").copied().unwrap_or(f64::INFINITY);
+    assert!(
+        overdue < 20.0 + 240.0,
+        "the overdue job began at {overdue} s"
+    );
+    let urgent = begun.keys().filter(|id| id.len() > 5).count();
+    assert!(urgent > 120, "{urgent} of 260 began");
+}
