The plan for scaling out counts the room in machines' reports

Cause: placement leaves out a machine whose report has no room for another attempt; the plan counted only its free CPUs and memory.

Change: the plan counts the room in the report as well, from the same source as placement. Entries of running attempts become free at their expected ends, those of exited ones soon.

--- a/src/placement/machine_capacity.rs
+++ b/src/placement/machine_capacity.rs
@@ -27,7 +27,7 @@
 
     /// Free capacity of a machine, and the capacity held by attempts that are being stopped. The result is cached in
     /// the machine until one of its attempts changes.
-    pub(super) fn capacity_left(&self, machine: &Machine) -> FreeCapacity {
+    pub(crate) fn capacity_left(&self, machine: &Machine) -> FreeCapacity {
         let left = machine
             .free_resources
             .get()
--- a/src/provisioning/capacity_plan.rs
+++ b/src/provisioning/capacity_plan.rs
@@ -6,7 +6,7 @@
 use crate::placement::Resources;
 use crate::scheduler::SchedulerState;
 use crate::time::{Micros, Moment};
-use crate::workers::Machine;
+use crate::workers::{EMPTY_REPORT_BYTES, Machine, entry_bytes};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
@@ -16,10 +16,46 @@
 /// Minimum expected time until capacity that isn't free yet becomes free.
 const MIN_RELEASE_DELAY: Micros = Micros::from_secs(2);
 
-/// An amount of capacity, and when it becomes free.
+/// What a machine has for tasks: resources, and room in the report that lists them.
+#[derive(Clone, Copy, Default)]
+struct TaskRoom {
+    resources: Resources,
+    report_bytes: i64,
+}
+
+impl TaskRoom {
+    /// What one task of the job takes.
+    fn of_task(job: &Job) -> TaskRoom {
+        TaskRoom {
+            resources: job.spec.demand,
+            report_bytes: entry_bytes(&job.spec.id) as i64,
+        }
+    }
+
+    fn plus(self, other: TaskRoom) -> TaskRoom {
+        TaskRoom {
+            resources: self.resources.plus(other.resources),
+            report_bytes: self.report_bytes + other.report_bytes,
+        }
+    }
+
+    fn minus(self, other: TaskRoom) -> TaskRoom {
+        TaskRoom {
+            resources: self.resources.minus(other.resources),
+            report_bytes: self.report_bytes - other.report_bytes,
+        }
+    }
+
+    /// True if this fits into `room`.
+    fn fits(self, room: TaskRoom) -> bool {
+        self.resources.fits(room.resources) && self.report_bytes <= room.report_bytes
+    }
+}
+
+/// Room for tasks, and when it becomes free.
 struct CapacityRelease {
     at: Moment,
-    amount: Resources,
+    amount: TaskRoom,
 }
 
 /// Forecast of the capacity that becomes free on a machine.
@@ -40,14 +76,14 @@
             spot: offer.spot,
             releases: vec![CapacityRelease {
                 at: up,
-                amount: capacity,
+                amount: empty_machine(capacity),
             }],
         }
     }
 
     /// The earliest moment at which enough capacity is free for one more task; `None` if it never is.
-    fn earliest_fit(&self, demand: Resources) -> Option<Moment> {
-        let mut free = Resources::default();
+    fn earliest_fit(&self, demand: TaskRoom) -> Option<Moment> {
+        let mut free = TaskRoom::default();
         self.releases.iter().find_map(|release| {
             free = free.plus(release.amount);
             demand.fits(free).then_some(release.at)
@@ -55,8 +91,8 @@
     }
 
     /// Allocates capacity to a task from `start` for `run_time`.
-    fn allocate(&mut self, start: Moment, demand: Resources, run_time: Micros) {
-        let mut free = Resources::default();
+    fn allocate(&mut self, start: Moment, demand: TaskRoom, run_time: Micros) {
+        let mut free = TaskRoom::default();
         self.releases.retain(|release| {
             let is_free_by_start = release.at <= start;
             if is_free_by_start {
@@ -76,6 +112,14 @@
     }
 }
 
+/// Room for tasks on an empty machine with these resources.
+fn empty_machine(resources: Resources) -> TaskRoom {
+    TaskRoom {
+        resources,
+        report_bytes: EMPTY_REPORT_BYTES as i64,
+    }
+}
+
 /// The tasks planned so far, and the machines that they need.
 pub(super) struct CapacityPlan {
     /// Machines that are up or booting, followed by those that the plan wants.
@@ -186,7 +230,7 @@
             if job.spec.constrains_zones() {
                 *planned.zones.entry(machine.zone.clone()).or_insert(0) += 1;
             }
-            machine.allocate(start.at, demand, planned.run_time);
+            machine.allocate(start.at, TaskRoom::of_task(job), planned.run_time);
             planned.starts.extend(start_on(plan, start.machine));
         }
     }
@@ -202,7 +246,7 @@
         {
             return None;
         }
-        Some(machine.earliest_fit(demand)?.max(now))
+        Some(machine.earliest_fit(TaskRoom::of_task(job))?.max(now))
     }
 
     /// Plans the start of the job's next task: on a machine of the plan if that is soon enough or no offer is better,
@@ -288,7 +332,7 @@
         let releases = match machine.last_seen {
             None => vec![CapacityRelease {
                 at: (machine.known_since + machine_type.boot_time).max(now + MIN_RELEASE_DELAY),
-                amount: machine_type.capacity,
+                amount: empty_machine(machine_type.capacity),
             }],
             Some(_) => self.expected_releases(machine, now),
         };
@@ -302,18 +346,34 @@
 
     /// Capacity that is free on a machine that is up, and that its attempts release at their expected ends.
     fn expected_releases(&self, machine: &Machine, now: Moment) -> Vec<CapacityRelease> {
+        let left = self.capacity_left(machine);
         let mut releases = vec![CapacityRelease {
             at: now,
-            amount: self.free_capacity(machine),
+            amount: TaskRoom {
+                resources: left.free,
+                report_bytes: left.report_bytes as i64,
+            },
         }];
-        for (key, attempt) in machine.attempts.iter().filter(|(_, a)| a.holds_resources()) {
+        for (key, attempt) in &machine.attempts {
             let Some(job) = self.jobs.table.get(&key.job) else {
                 continue;
             };
-            let from = attempt.running_since.unwrap_or(now);
-            releases.push(CapacityRelease {
-                at: (from + self.expected_run_time(job)).max(now + MIN_RELEASE_DELAY),
-                amount: job.spec.demand,
+            let room = TaskRoom::of_task(job);
+            let soon = now + MIN_RELEASE_DELAY;
+            releases.push(match attempt.holds_resources() {
+                true => CapacityRelease {
+                    at: soon
+                        .max(attempt.running_since.unwrap_or(now) + self.expected_run_time(job)),
+                    amount: room,
+                },
+                // An exited attempt stays in the report until it is cleared.
+                false => CapacityRelease {
+                    at: soon,
+                    amount: TaskRoom {
+                        resources: Resources::default(),
+                        ..room
+                    },
+                },
             });
         }
         releases.sort_by_key(|release| release.at);
--- a/src/workers/mod.rs
+++ b/src/workers/mod.rs
@@ -53,6 +53,6 @@
 pub use image_cache::{Image, ImageCache};
 pub use machine::Machine;
 pub use quarantine::Quarantine;
-pub use report_size::entry_bytes;
+pub use report_size::{EMPTY_REPORT_BYTES, entry_bytes};
 pub use task_failures::TaskFailures;
 pub use worker_clients::WorkerClientPool;
--- a/tests/traces/provisioning.rs
+++ b/tests/traces/provisioning.rs
@@ -1,7 +1,7 @@
 //! Scale-out and scale-in: the machines that are requested from the cloud and returned to it.
 
 use crate::trace::{LeaderTrace, at, decimal, one_team, submission};
-use aspenreel::jobs::JobKind;
+use aspenreel::jobs::{JobKind, Priority};
 use aspenreel::provisioning::ProvisioningResult;
 use aspenreel::settings::Objective;
 use insta::assert_snapshot;
@@ -147,3 +147,25 @@
     trace.on_timer(7.0).bound().plan_scale_out();
     assert_snapshot!(trace.log);
 }
+
+/// Guards against jobs that wait without end beside a machine whose report is full of replicas: its free CPUs can't be
+/// used, so that another machine is requested.
+#[test]
+fn machine_with_a_full_report_does_not_count_as_capacity() {
+    let mut trace = LeaderTrace::new(4, one_team());
+    trace.heartbeat("big-east-1", &[]);
+    trace.job(submission("run-000001", |s| {
+        s.kind = JobKind::Standing;
+        s.tasks = 600;
+        s.cpus = decimal(0.01);
+        s.ram_gb = decimal(0.01);
+    }));
+    trace.on_timer(1.0);
+    trace.job(submission("run-000002", |s| s.priority = Priority::High));
+    trace.scheduler.run_placement_pass(trace.now);
+    assert!(trace.scheduler.machines["big-east-1"].attempts.len() < 600);
+    trace.scheduler.provisioning.has_machine_list = true;
+    trace.scheduler.plan_scale_out(trace.now);
+    let requests = &trace.scheduler.provisioning.requests;
+    assert!(!requests.is_empty(), "{requests:?}");
+}
