--- a/src/placement/pass_state.rs
+++ b/src/placement/pass_state.rs
@@ -1,8 +1,8 @@
 //! State of one placement pass.
 
-use super::withheld_quota::{EndingUsage, WithheldQuota};
 use super::{QueueOrder, Resources};
 use crate::jobs::{JobId, Priority};
+use crate::time::Micros;
 use crate::workers::AttemptKey;
 use std::collections::BTreeSet;
 
@@ -39,6 +39,19 @@
     }
 }
 
+/// Quota withheld from a team's jobs up to a priority.
+pub(super) struct WithheldQuota {
+    pub(super) amount: Resources,
+    pub(super) highest_priority: Priority,
+}
+
+/// What a job uses of its team's quota, and when that ends.
+pub(super) struct EndingUsage {
+    /// Time within which the job's present attempts are expected to end.
+    pub(super) within: Micros,
+    pub(super) amount: Resources,
+}
+
 /// State of one pass, shared by all jobs.
 ///
 /// Everything that depends on all machines or all tasks is computed once for all jobs. Computing it for each job
--- a/src/placement/withheld_quota.rs
+++ b/src/placement/withheld_quota.rs
@@ -6,7 +6,7 @@
 //! a higher priority are exempt until the overdue job has waited for twice the maximum queue wait.
 
 use super::Resources;
-use super::pass_state::PlacementPass;
+use super::pass_state::{EndingUsage, PlacementPass, WithheldQuota};
 use crate::jobs::{Job, JobId, Priority};
 use crate::scheduler::SchedulerState;
 use crate::time::{Micros, Moment};
@@ -14,19 +14,6 @@
 /// Multiple of the maximum queue wait after which quota is withheld from jobs of a higher priority, too.
 const WAIT_BEFORE_HIGHER_PRIORITIES: f64 = 2.0;
 
-/// Quota withheld from a team's jobs up to a priority.
-pub(super) struct WithheldQuota {
-    amount: Resources,
-    highest_priority: Priority,
-}
-
-/// What a job uses of its team's quota, and when that ends.
-pub(super) struct EndingUsage {
-    /// Time within which the job's present attempts are expected to end.
-    within: Micros,
-    amount: Resources,
-}
-
 impl PlacementPass {
     /// Quota that a team's job of this priority may use.
     pub(super) fn quota_for(&self, team: usize, priority: Priority) -> Resources {
