Tasks without CPUs start where only CPUs are used up

Cause: a pass looked for machines among those with free CPUs only.

Change: all usable machines are looked at in passes in which some waiting task demands no CPUs; all other passes are as before.

--- a/src/placement/bin_packing.rs
+++ b/src/placement/bin_packing.rs
@@ -59,7 +59,7 @@
     }
 
     /// The candidate with the lowest cost of a few drawn at random. Drawn candidates without a free CPU are removed
-    /// from `with_capacity`.
+    /// from `with_capacity` if all tasks demand CPUs.
     fn best_of_sample(
         &mut self,
         id: JobId,
@@ -78,7 +78,7 @@
             }
             let drawn = self.rng.usize(0..pass.with_capacity.len());
             let index = pass.with_capacity[drawn];
-            if pass.candidates[index].free.cpu <= 0 {
+            if pass.all_need_cpus && pass.candidates[index].free.cpu <= 0 {
                 pass.with_capacity.swap_remove(drawn);
                 continue;
             }
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -32,8 +32,7 @@
         if waiting.is_empty() {
             return;
         }
-        let highest_waiting = HighestWaiting::of(&waiting);
-        let mut pass = self.start_pass(over_guarantee, highest_waiting, now);
+        let mut pass = self.start_pass(over_guarantee, &waiting, now);
         for (order, id) in waiting {
             self.place_job(order, id, &mut pass, now);
         }
@@ -43,12 +42,16 @@
     fn start_pass(
         &self,
         over_guarantee: BTreeSet<JobId>,
-        highest_waiting: HighestWaiting,
+        waiting: &[(QueueOrder, JobId)],
         now: Moment,
     ) -> PlacementPass {
         let candidates = self.candidates(now);
         let used = self.team_usage();
-        let indices_of = |wanted: fn(&CandidateMachine) -> bool| -> Vec<usize> {
+        let all_need_cpus = waiting.iter().all(|(_, id)| {
+            let job = self.jobs.table.get(id);
+            job.is_some_and(|job| job.spec.demand.cpu > 0)
+        });
+        let indices_of = |wanted: &dyn Fn(&CandidateMachine) -> bool| -> Vec<usize> {
             (0..candidates.len())
                 .filter(|index| wanted(&candidates[*index]))
                 .collect()
@@ -57,8 +60,9 @@
         let mut withheld_quota = Vec::new();
         withheld_quota.resize_with(self.config.teams.len(), Vec::new);
         PlacementPass {
-            with_capacity: indices_of(|c| c.free.cpu > 0),
-            with_stopping: indices_of(|c| c.future_free != c.free),
+            all_need_cpus,
+            with_capacity: indices_of(&|c| c.free.cpu > 0 || !all_need_cpus),
+            with_stopping: indices_of(&|c| c.future_free != c.free),
             reserved: 0,
             unplaceable: Vec::new(),
             quota_left: self.quota_left_after(&used),
@@ -68,7 +72,7 @@
             borrowed_cpu: self.borrowed_cpu(&used),
             over_guarantee,
             lowest_bound_priority: bound.map(|j| j.spec.priority).min(),
-            highest_waiting,
+            highest_waiting: HighestWaiting::of(waiting),
             candidates,
         }
     }
--- a/src/placement/pass_state.rs
+++ b/src/placement/pass_state.rs
@@ -59,7 +59,9 @@
 /// processor.
 pub(super) struct PlacementPass {
     pub(super) candidates: Vec<CandidateMachine>,
-    /// Indices of candidates with free capacity.
+    /// True if the tasks of all waiting jobs demand CPUs.
+    pub(super) all_need_cpus: bool,
+    /// Indices of candidates with free capacity: with free CPUs, if all tasks demand them.
     pub(super) with_capacity: Vec<usize>,
     /// Indices of candidates on which attempts are being stopped.
     pub(super) with_stopping: Vec<usize>,
--- a/tests/traces/placement.rs
+++ b/tests/traces/placement.rs
@@ -126,6 +126,24 @@
     }
 }
 
+/// Guards against tasks without CPUs that wait beside a machine on which only CPUs are used up.
+#[test]
+fn tasks_without_cpus_start_where_all_cpus_are_in_use() {
+    let mut trace = LeaderTrace::new(2, one_team());
+    trace.heartbeat("big-east-1", &[]);
+    trace.job(submission("run-1", |s| {
+        s.tasks = 1;
+        s.cpus = decimal(32.0);
+    }));
+    trace.on_timer(1.0);
+    trace.job(submission("run-2", |s| {
+        s.tasks = 1;
+        s.cpus = decimal(0.0);
+    }));
+    trace.on_timer(2.0);
+    assert_eq!(busy_attempts(&trace), 2);
+}
+
 /// Guards against tasks that wait beside an empty machine: many small tasks have filled its report, end together and are
 /// cleared. No other event follows.
 #[test]
