The lease of an agent epoch counts from its first report, a machine's first one included

Cause: if the first heartbeat of a machine in a term is withheld, its lease counted as renewed at the beginning of the term. A probe reconciles the machine, a task starts there, and soon after the leader takes the agent epoch for ended, though it may have begun just before that heartbeat.

Change: the first report of any agent epoch sets the time from which its lease is counted.

--- a/src/workers/reconciliation.rs
+++ b/src/workers/reconciliation.rs
@@ -34,22 +34,23 @@
         self.drain_preempted(&report.machine, now);
     }
 
-    /// Ends the machine's current agent epoch if the report belongs to a newer one.
+    /// Ends the machine's current agent epoch if the report belongs to a newer one. The lease of the newer one counts
+    /// from its first report: the epoch may have begun just before, whether or not the report is answered.
     fn end_older_epoch(&mut self, report: &Heartbeat, now: Moment) {
-        let Some(machine) = self.machines.get(&report.machine) else {
+        let Some(machine) = self.machines.get_mut(&report.machine) else {
             return;
         };
         let current = machine.agent_epoch();
-        if current == AgentEpoch::UNKNOWN || report.agent_epoch <= current {
+        if report.agent_epoch <= current {
             return;
         }
-        self.end_epoch(&report.machine);
-        if let Some(machine) = self.machines.get_mut(&report.machine) {
-            machine.lease_renewed_at = now;
-            // The worker may have been disconnected or stopped. It may also send heartbeats without receiving the
-            // replies.
-            machine.note_undelivered(now);
+        machine.lease_renewed_at = now;
+        if current == AgentEpoch::UNKNOWN {
+            return;
         }
+        // The worker may have been disconnected or stopped. It may also send heartbeats without receiving the replies.
+        machine.note_undelivered(now);
+        self.end_epoch(&report.machine);
     }
 
     /// Preempts the attempts that can't finish before the cloud preempts the machine. Their tasks can then start
--- a/tests/traces/lease_renewals.rs
+++ b/tests/traces/lease_renewals.rs
@@ -1,6 +1,6 @@
 //! Replies of a new leader renew the leases of machines that may hold tasks of earlier terms.
 
-use crate::trace::{LeaderTrace, one_team, submission};
+use crate::trace::{LeaderTrace, at, one_team, submission};
 use aspenreel::jobs::{DoneRecord, Outcome};
 use aspenreel::workers::{DirectResult, HeartbeatReply};
 use insta::assert_snapshot;
@@ -149,3 +149,19 @@
         .heartbeat(SUSPECT, &started);
     assert_snapshot!(trace.log);
 }
+
+/// Guards against a task that runs twice: the first heartbeat of a machine in this term is withheld, a probe reconciles
+/// the machine, and a task starts there. The agent epoch may have begun just before that heartbeat, so it isn't over one
+/// lease after the beginning of the term.
+#[test]
+fn epoch_first_seen_in_a_withheld_heartbeat_lasts_a_lease_from_then() {
+    let mut trace = new_leader();
+    trace.prior_term_job(submission("run-2", |s| s.tasks = 1));
+    trace.scheduler.request_cancellation("run-2", at(-10.0));
+    assert!(!old_heartbeat(&mut trace, 18.0, 1));
+    let report = ["run-1/0#4.9 running"];
+    trace.direct_call(|trace| DirectResult::Answered(trace.next_heartbeat(SUSPECT, 5, 1, &report)));
+    trace.on_timer(24.0).bound();
+    let attempts = &trace.scheduler.machines[SUSPECT].attempts;
+    assert_eq!(attempts.len(), 1, "the agent epoch counts as ended");
+}
